--- /dev/null
+++ b/cowslipdale-config/src/main/java/org/cowslipdale/config/protocol/StatementBody.java
@@ -0,0 +1,12 @@
+package org.cowslipdale.config.protocol;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The JSON body of a caller's statement.
+ *
+ * @param statement the statement text, passed on as it is
+ * @param parameters the parameters of the statement, if any
+ */
+public record StatementBody(@Nullable String statement, @Nullable JsonNode parameters) {}
--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/claim/ClaimVote.java
@@ -0,0 +1,77 @@
+package org.cowslipdale.core.claim;
+
+import org.jspecify.annotations.Nullable;
+
+/** Counts the replies of the claim holders to one attempt; confined to one thread. */
+public final class ClaimVote {
+
+  private final int holders;
+  private int granted;
+  private int refused;
+  private boolean taken;
+  private @Nullable String answer;
+
+  /** What the replies so far decide. */
+  public enum Result {
+    /** More replies are needed. */
+    OPEN,
+    /** The attempt may run. */
+    WON,
+    /** An earlier attempt completed and its answer is known. */
+    COMPLETED,
+    /** An earlier attempt may have run. */
+    TAKEN,
+    /** Too few holders could grant the claim. */
+    UNAVAILABLE
+  }
+
+  /**
+   * Creates a count.
+   *
+   * @param holders the number of holders asked
+   */
+  public ClaimVote(int holders) {
+    this.holders = holders;
+  }
+
+  /**
+   * Takes in a reply.
+   *
+   * @param reply the reply, or null if a holder did not answer
+   */
+  public void add(@Nullable ClaimReply reply) {
+    switch (reply) {
+      case ClaimReply.Granted ignored -> granted++;
+      case ClaimReply.Taken ignored -> {
+        taken = true;
+        refused++;
+      }
+      case ClaimReply.Completed completed -> {
+        answer = completed.answer();
+        refused++;
+      }
+      case ClaimReply.CannotTell ignored -> refused++;
+      case null -> refused++;
+    }
+  }
+
+  /** Returns what the replies so far decide. */
+  public Result result() {
+    if (answer != null) {
+      return Result.COMPLETED;
+    }
+    int majority = ClaimHolders.majority(holders);
+    if (holders > 0 && granted >= majority) {
+      return Result.WON;
+    }
+    if (granted + refused < holders) {
+      return Result.OPEN;
+    }
+    return taken ? Result.TAKEN : Result.UNAVAILABLE;
+  }
+
+  /** Returns the answer of the earlier attempt; null unless the result is {@code COMPLETED}. */
+  public @Nullable String answer() {
+    return answer;
+  }
+}
--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusNode.java
@@ -0,0 +1,635 @@
+package org.cowslipdale.core.consensus;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.cowslipdale.core.consensus.ConsensusMessage.AppendReply;
+import org.cowslipdale.core.consensus.ConsensusMessage.AppendRequest;
+import org.cowslipdale.core.consensus.ConsensusMessage.SnapshotRequest;
+import org.cowslipdale.core.consensus.ConsensusMessage.TransferRequest;
+import org.cowslipdale.core.consensus.ConsensusMessage.VoteReply;
+import org.cowslipdale.core.consensus.ConsensusMessage.VoteRequest;
+import org.cowslipdale.core.consensus.Output.Send;
+import org.cowslipdale.core.control.ControlState;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One member of the control log: the Raft protocol with trial votes, leader leases and replacement
+ * of lost data folders.
+ *
+ * <p>Inputs are messages, proposals and the passing of time; every input returns an {@link Output}
+ * that the caller must carry out in order before the next input. This class does no I/O and is
+ * confined to one thread.
+ *
+ * <p>A member whose data folder was replaced receives the log but neither votes nor stands until
+ * the leader has removed its old identity from the voters and added the new one, in two steps, so
+ * that any two successive quorums overlap.
+ *
+ * @see <a href="https://raft.github.io/raft.pdf">In Search of an Understandable Consensus
+ *     Algorithm</a>
+ */
+public final class ConsensusNode {
+
+  private static final int MAX_ENTRIES_PER_MESSAGE = 200;
+
+  private final VoterId self;
+  private final Set<String> members;
+  private final RandomGenerator random;
+  private final ControlLog log;
+  private long term;
+  private @Nullable String votedFor;
+  private Role role = Role.FOLLOWER;
+  private @Nullable String leader;
+  private long commitIndex;
+  private long electionDeadlineMillis;
+  private long heardFromLeaderMillis;
+  private long nextHeartbeatMillis;
+  private long leaderSinceMillis;
+  private final Set<String> votes = new HashSet<>();
+  private final Map<String, Progress> followers = new HashMap<>();
+
+  private boolean hardStateChanged;
+  private @Nullable Snapshot installed;
+  private long keepUpTo;
+  private final List<LogEntry> appended = new ArrayList<>();
+  private final List<Send> sends = new ArrayList<>();
+  private final List<LogEntry> committed = new ArrayList<>();
+
+  /** The part that a member plays. */
+  public enum Role {
+    /** Follows a leader, or waits for one. */
+    FOLLOWER,
+    /** Asks whether it could win an election. */
+    TRIAL_CANDIDATE,
+    /** Stands for election. */
+    CANDIDATE,
+    /** Leads. */
+    LEADER
+  }
+
+  /** What a leader knows of another member. */
+  private static final class Progress {
+
+    private long nextIndex;
+    private long matchIndex;
+    private long answeredSentMillis = Long.MIN_VALUE;
+    private @Nullable String identity;
+
+    Progress(long nextIndex) {
+      this.nextIndex = nextIndex;
+    }
+  }
+
+  /**
+   * Creates a member from its stored state.
+   *
+   * @param self the name of this VM
+   * @param members the names of all VMs that keep the control log
+   * @param hardState the stored hard state
+   * @param snapshot the stored snapshot
+   * @param entries the stored entries after the snapshot
+   * @param random draws election timeouts
+   * @param now the present time on the VM's monotonic clock, in milliseconds
+   */
+  public ConsensusNode(
+      String self,
+      Set<String> members,
+      HardState hardState,
+      Snapshot snapshot,
+      List<LogEntry> entries,
+      RandomGenerator random,
+      long now) {
+    this.self = new VoterId(self, hardState.identity());
+    this.members = Set.copyOf(members);
+    this.random = requireNonNull(random, "random");
+    this.log = new ControlLog(snapshot, entries);
+    this.term = hardState.term();
+    this.votedFor = hardState.votedFor();
+    this.commitIndex = snapshot.index();
+    this.heardFromLeaderMillis = now;
+    resetElectionDeadline(now);
+  }
+
+  /** Returns the part that this member plays. */
+  public Role role() {
+    return role;
+  }
+
+  /** Returns the current term. */
+  public long term() {
+    return term;
+  }
+
+  /** Returns the leader that this member knows. */
+  public Optional<String> leader() {
+    return Optional.ofNullable(leader);
+  }
+
+  /** Returns the index of the last committed entry. */
+  public long commitIndex() {
+    return commitIndex;
+  }
+
+  /** Returns the index of the last entry. */
+  public long lastIndex() {
+    return log.lastIndex();
+  }
+
+  /** Returns the voters. */
+  public VoterSet voters() {
+    return log.voters();
+  }
+
+  /** Returns since when this member has been leader; meaningful only while it is. */
+  public long leaderSinceMillis() {
+    return leaderSinceMillis;
+  }
+
+  /**
+   * Tells whether this member is leader and no other member can be one at the present time.
+   *
+   * @param now the present time on the VM's monotonic clock, in milliseconds
+   */
+  public boolean holdsLeaderLease(long now) {
+    boolean ownTermCommitted = role == Role.LEADER && log.term(commitIndex) == term;
+    return ownTermCommitted
+        && now < quorumAnsweredMillis(now) + ConsensusTimings.LEADER_LEASE_MILLIS;
+  }
+
+  /**
+   * Advances time.
+   *
+   * @param now the present time on the VM's monotonic clock, in milliseconds
+   */
+  public Output tick(long now) {
+    if (role == Role.LEADER) {
+      tickLeader(now);
+    } else if (now >= electionDeadlineMillis) {
+      startTrial(now);
+    }
+    return drain();
+  }
+
+  /**
+   * Proposes an entry; ignored unless this member is leader.
+   *
+   * @param payload what the entry says
+   * @param now the present time on the VM's monotonic clock, in milliseconds
+   */
+  public Output propose(LogEntry.Payload payload, long now) {
+    if (role == Role.LEADER) {
+      appendAsLeader(payload);
+      sendToAll(now);
+      advanceCommit(now);
+    }
+    return drain();
+  }
+
+  /**
+   * Takes in a message of another member.
+   *
+   * @param message the message
+   * @param now the present time on the VM's monotonic clock, in milliseconds
+   */
+  public Output receive(ConsensusMessage message, long now) {
+    switch (message) {
+      case VoteRequest request -> onVoteRequest(request, now);
+      case VoteReply reply -> onVoteReply(reply, now);
+      case AppendRequest request -> onAppendRequest(request, now);
+      case SnapshotRequest request -> onSnapshotRequest(request, now);
+      case AppendReply reply -> onAppendReply(reply, now);
+      case TransferRequest request -> onTransferRequest(request, now);
+    }
+    return drain();
+  }
+
+  /**
+   * Gives up leadership and asks the follower that is furthest ahead to stand at once.
+   *
+   * @param now the present time on the VM's monotonic clock, in milliseconds
+   */
+  public Output transferLeadership(long now) {
+    if (role == Role.LEADER) {
+      Optional<String> successor = furthestVoter();
+      becomeFollower(term, null, now);
+      successor.ifPresent(name -> sends.add(new Send(name, new TransferRequest(term, self))));
+    }
+    return drain();
+  }
+
+  /**
+   * Drops the entries that a snapshot of the applied state covers.
+   *
+   * @param state the control state after the entry at {@code index}
+   * @param index the index of an applied entry
+   * @return the snapshot to store
+   */
+  public Snapshot compact(ControlState state, long index) {
+    Snapshot snapshot = new Snapshot(index, log.term(index), log.votersAt(index), state);
+    log.compact(snapshot);
+    return snapshot;
+  }
+
+  /** Returns the entries after the snapshot. */
+  public List<LogEntry> entriesAfterSnapshot() {
+    return log.range(log.snapshot().index() + 1, log.lastIndex());
+  }
+
+  private void tickLeader(long now) {
+    long silent = now - quorumAnsweredMillis(now);
+    if (silent > 2 * ConsensusTimings.ELECTION_MIN_MILLIS
+        && now - leaderSinceMillis > 2 * ConsensusTimings.ELECTION_MIN_MILLIS) {
+      becomeFollower(term, null, now);
+      return;
+    }
+    if (now >= nextHeartbeatMillis) {
+      replaceLostIdentities();
+      sendToAll(now);
+      advanceCommit(now);
+    }
+  }
+
+  private void startTrial(long now) {
+    resetElectionDeadline(now);
+    if (!log.voters().contains(self)) {
+      return;
+    }
+    role = Role.TRIAL_CANDIDATE;
+    leader = null;
+    votes.clear();
+    votes.add(self.name());
+    requestVotes(term + 1, true, false);
+    countVotes(now);
+  }
+
+  private void startElection(boolean transfer, long now) {
+    role = Role.CANDIDATE;
+    setTerm(term + 1, self.name());
+    resetElectionDeadline(now);
+    votes.clear();
+    votes.add(self.name());
+    requestVotes(term, false, transfer);
+    countVotes(now);
+  }
+
+  private void requestVotes(long forTerm, boolean trial, boolean transfer) {
+    VoteRequest request =
+        new VoteRequest(forTerm, self, log.lastIndex(), log.lastTerm(), trial, transfer);
+    for (String name : log.voters().names()) {
+      if (!name.equals(self.name())) {
+        sends.add(new Send(name, request));
+      }
+    }
+  }
+
+  private void onTransferRequest(TransferRequest request, long now) {
+    boolean fromLeader = request.term() == term && request.leader().name().equals(leader);
+    if (fromLeader && log.voters().contains(self)) {
+      startElection(true, now);
+    }
+  }
+
+  private Optional<String> furthestVoter() {
+    String best = null;
+    long bestMatch = -1;
+    for (Map.Entry<String, String> voter : log.voters().identities().entrySet()) {
+      long match = matchIndex(voter.getKey(), voter.getValue());
+      if (!voter.getKey().equals(self.name()) && match > bestMatch) {
+        best = voter.getKey();
+        bestMatch = match;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private void onVoteRequest(VoteRequest request, long now) {
+    boolean leaderLives =
+        role == Role.LEADER || now < heardFromLeaderMillis + ConsensusTimings.ELECTION_MIN_MILLIS;
+    boolean upToDate =
+        request.lastTerm() > log.lastTerm()
+            || (request.lastTerm() == log.lastTerm() && request.lastIndex() >= log.lastIndex());
+    if (request.trial()) {
+      boolean granted = request.term() > term && upToDate && !leaderLives;
+      reply(request, granted ? request.term() : term, granted);
+      return;
+    }
+    if (leaderLives && !request.transfer() && request.term() > term) {
+      reply(request, term, false);
+      return;
+    }
+    if (request.term() > term) {
+      becomeFollower(request.term(), null, now);
+    }
+    boolean free = votedFor == null || votedFor.equals(request.candidate().name());
+    boolean granted = request.term() == term && free && upToDate && role == Role.FOLLOWER;
+    if (granted) {
+      setTerm(term, request.candidate().name());
+      resetElectionDeadline(now);
+    }
+    reply(request, term, granted);
+  }
+
+  private void reply(VoteRequest request, long replyTerm, boolean granted) {
+    VoteReply reply = new VoteReply(replyTerm, self, granted, request.trial());
+    sends.add(new Send(request.candidate().name(), reply));
+  }
+
+  private void onVoteReply(VoteReply reply, long now) {
+    boolean refusedByNewerTerm = !reply.granted() && reply.term() > term;
+    if (refusedByNewerTerm) {
+      becomeFollower(reply.term(), null, now);
+      return;
+    }
+    Role expected = reply.trial() ? Role.TRIAL_CANDIDATE : Role.CANDIDATE;
+    long expectedTerm = reply.trial() ? term + 1 : term;
+    boolean counts =
+        reply.granted()
+            && role == expected
+            && reply.term() == expectedTerm
+            && log.voters().contains(reply.voter());
+    if (counts) {
+      votes.add(reply.voter().name());
+      countVotes(now);
+    }
+  }
+
+  private void countVotes(long now) {
+    if (votes.size() < log.voters().quorum()) {
+      return;
+    }
+    if (role == Role.TRIAL_CANDIDATE) {
+      startElection(false, now);
+    } else if (role == Role.CANDIDATE) {
+      becomeLeader(now);
+    }
+  }
+
+  private void becomeLeader(long now) {
+    role = Role.LEADER;
+    leader = self.name();
+    leaderSinceMillis = now;
+    followers.clear();
+    for (String name : members) {
+      if (!name.equals(self.name())) {
+        followers.put(name, new Progress(log.lastIndex() + 1));
+      }
+    }
+    appendAsLeader(new LogEntry.Noop());
+    sendToAll(now);
+    advanceCommit(now);
+  }
+
+  private void becomeFollower(long newTerm, @Nullable String newLeader, long now) {
+    if (newTerm > term) {
+      setTerm(newTerm, null);
+    }
+    role = Role.FOLLOWER;
+    leader = newLeader;
+    votes.clear();
+    followers.clear();
+    resetElectionDeadline(now);
+  }
+
+  private void onAppendRequest(AppendRequest request, long now) {
+    if (request.term() < term) {
+      sends.add(new Send(request.leader().name(), refuse(0, request.sentMillis())));
+      return;
+    }
+    follow(request.term(), request.leader().name(), now);
+    if (request.previousIndex() < log.snapshot().index()) {
+      answer(request.leader().name(), true, commitIndex, request.sentMillis());
+      return;
+    }
+    boolean matches =
+        log.knowsTerm(request.previousIndex())
+            && log.term(request.previousIndex()) == request.previousTerm();
+    if (!matches) {
+      long next = Math.min(log.lastIndex(), Math.max(commitIndex, request.previousIndex() - 1));
+      sends.add(new Send(request.leader().name(), refuse(next, request.sentMillis())));
+      return;
+    }
+    appendAsFollower(request.entries());
+    long match = request.previousIndex() + request.entries().size();
+    commitUpTo(Math.min(request.commitIndex(), match));
+    answer(request.leader().name(), true, match, request.sentMillis());
+  }
+
+  private void onSnapshotRequest(SnapshotRequest request, long now) {
+    if (request.term() < term) {
+      sends.add(new Send(request.leader().name(), refuse(0, request.sentMillis())));
+      return;
+    }
+    follow(request.term(), request.leader().name(), now);
+    Snapshot snapshot = request.snapshot();
+    if (snapshot.index() > commitIndex) {
+      log.reset(snapshot);
+      commitIndex = snapshot.index();
+      installed = snapshot;
+      appended.clear();
+      keepUpTo = snapshot.index();
+    }
+    answer(request.leader().name(), true, commitIndex, request.sentMillis());
+  }
+
+  private void follow(long newTerm, String newLeader, long now) {
+    becomeFollower(newTerm, newLeader, now);
+    heardFromLeaderMillis = now;
+  }
+
+  private AppendReply refuse(long next, long sentMillis) {
+    return new AppendReply(term, self, false, next, sentMillis);
+  }
+
+  private void answer(String to, boolean success, long match, long sentMillis) {
+    sends.add(new Send(to, new AppendReply(term, self, success, match, sentMillis)));
+  }
+
+  private void appendAsFollower(List<LogEntry> entries) {
+    for (LogEntry entry : entries) {
+      boolean present = log.knowsTerm(entry.index()) && log.term(entry.index()) == entry.term();
+      if (present) {
+        continue;
+      }
+      if (entry.index() <= log.lastIndex()) {
+        log.truncateAfter(entry.index() - 1);
+        appended.removeIf(other -> other.index() >= entry.index());
+      }
+      append(entry);
+    }
+  }
+
+  private void appendAsLeader(LogEntry.Payload payload) {
+    append(new LogEntry(log.lastIndex() + 1, term, payload));
+  }
+
+  private void append(LogEntry entry) {
+    if (appended.isEmpty()) {
+      keepUpTo = entry.index() - 1;
+    }
+    log.append(entry);
+    appended.add(entry);
+  }
+
+  private void onAppendReply(AppendReply reply, long now) {
+    if (reply.term() > term) {
+      becomeFollower(reply.term(), null, now);
+      return;
+    }
+    Progress progress = followers.get(reply.follower().name());
+    if (role != Role.LEADER || reply.term() != term || progress == null) {
+      return;
+    }
+    progress.answeredSentMillis = Math.max(progress.answeredSentMillis, reply.sentMillis());
+    if (!reply.follower().identity().equals(progress.identity)) {
+      progress.identity = reply.follower().identity();
+      progress.matchIndex = 0;
+    }
+    if (reply.success()) {
+      progress.matchIndex = Math.max(progress.matchIndex, reply.matchIndex());
+      boolean behind = progress.nextIndex <= log.lastIndex();
+      progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
+      advanceCommit(now);
+      if (behind && progress.nextIndex <= log.lastIndex()) {
+        sendTo(reply.follower().name(), progress, now);
+      }
+    } else {
+      progress.nextIndex = Math.max(1, Math.min(progress.nextIndex - 1, reply.matchIndex() + 1));
+      sendTo(reply.follower().name(), progress, now);
+    }
+  }
+
+  private void sendToAll(long now) {
+    nextHeartbeatMillis = now + ConsensusTimings.HEARTBEAT_MILLIS;
+    followers.forEach((name, progress) -> sendTo(name, progress, now));
+  }
+
+  private void sendTo(String name, Progress progress, long now) {
+    long previous = progress.nextIndex - 1;
+    if (previous < log.snapshot().index()) {
+      sends.add(new Send(name, new SnapshotRequest(term, self, log.snapshot(), now)));
+      progress.nextIndex = log.snapshot().index() + 1;
+      return;
+    }
+    long last = Math.min(log.lastIndex(), previous + MAX_ENTRIES_PER_MESSAGE);
+    List<LogEntry> entries = log.range(previous + 1, last);
+    AppendRequest request =
+        new AppendRequest(term, self, previous, log.term(previous), entries, commitIndex, now);
+    sends.add(new Send(name, request));
+  }
+
+  /** Returns the send time that a quorum, this member included, has answered. */
+  private long quorumAnsweredMillis(long now) {
+    VoterSet voters = log.voters();
+    List<Long> answered = new ArrayList<>();
+    for (Map.Entry<String, String> voter : voters.identities().entrySet()) {
+      answered.add(answeredMillis(voter.getKey(), voter.getValue(), now));
+    }
+    answered.sort(null);
+    return answered.isEmpty()
+        ? Long.MIN_VALUE / 2
+        : answered.get(answered.size() - voters.quorum());
+  }
+
+  private long answeredMillis(String name, String identity, long now) {
+    if (name.equals(self.name())) {
+      return now;
+    }
+    Progress progress = followers.get(name);
+    boolean known = progress != null && identity.equals(progress.identity);
+    return known ? progress.answeredSentMillis : Long.MIN_VALUE / 2;
+  }
+
+  private void advanceCommit(long now) {
+    if (role != Role.LEADER) {
+      return;
+    }
+    VoterSet voters = log.voters();
+    List<Long> matches = new ArrayList<>();
+    for (Map.Entry<String, String> voter : voters.identities().entrySet()) {
+      matches.add(matchIndex(voter.getKey(), voter.getValue()));
+    }
+    matches.sort(null);
+    long quorumMatch = matches.get(matches.size() - voters.quorum());
+    if (quorumMatch > commitIndex && log.term(quorumMatch) == term) {
+      commitUpTo(quorumMatch);
+      sendToAll(now);
+    }
+  }
+
+  private long matchIndex(String name, String identity) {
+    if (name.equals(self.name())) {
+      return identity.equals(self.identity()) ? log.lastIndex() : 0;
+    }
+    Progress progress = followers.get(name);
+    boolean known = progress != null && identity.equals(progress.identity);
+    return known ? progress.matchIndex : 0;
+  }
+
+  private void commitUpTo(long index) {
+    while (commitIndex < index) {
+      commitIndex++;
+      committed.add(log.entry(commitIndex));
+    }
+  }
+
+  /** Replaces the identity of a member that came back with a new data folder and caught up. */
+  private void replaceLostIdentities() {
+    boolean changePending = log.votersIndex() > commitIndex || log.term(commitIndex) != term;
+    if (changePending) {
+      return;
+    }
+    for (Map.Entry<String, Progress> entry : followers.entrySet()) {
+      String identity = entry.getValue().identity;
+      boolean caughtUp = entry.getValue().matchIndex >= commitIndex;
+      if (identity == null || !caughtUp) {
+        continue;
+      }
+      VoterId voter = new VoterId(entry.getKey(), identity);
+      if (log.voters().contains(voter)) {
+        continue;
+      }
+      boolean oldIdentityVotes = log.voters().names().contains(entry.getKey());
+      VoterSet next =
+          oldIdentityVotes ? log.voters().without(entry.getKey()) : log.voters().with(voter);
+      appendAsLeader(new LogEntry.Voters(next));
+      return;
+    }
+  }
+
+  private void setTerm(long newTerm, @Nullable String vote) {
+    boolean changed = newTerm != term || !Objects.equals(vote, votedFor);
+    term = newTerm;
+    votedFor = vote;
+    hardStateChanged |= changed;
+  }
+
+  private void resetElectionDeadline(long now) {
+    long spread = ConsensusTimings.ELECTION_MAX_MILLIS - ConsensusTimings.ELECTION_MIN_MILLIS;
+    electionDeadlineMillis = now + ConsensusTimings.ELECTION_MIN_MILLIS + random.nextLong(spread);
+  }
+
+  private Output drain() {
+    Output output =
+        new Output(
+            hardStateChanged ? new HardState(self.identity(), term, votedFor) : null,
+            installed,
+            keepUpTo,
+            appended,
+            sends,
+            committed);
+    hardStateChanged = false;
+    installed = null;
+    appended.clear();
+    sends.clear();
+    committed.clear();
+    return output;
+  }
+}
--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * Replication of the control log among the voters.
+ *
+ * <p>Nothing in this package accepts or returns {@code null} unless it is marked {@code @Nullable}.
+ */
+@NullMarked
+package org.cowslipdale.core.consensus;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/control/LeaseTable.java
@@ -0,0 +1,94 @@
+package org.cowslipdale.core.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.cowslipdale.core.view.View;
+
+/**
+ * The leases that a control leader has granted, and the versions that VMs have confirmed.
+ *
+ * <p>A version is in force once every VM has confirmed it or can no longer act on an older one. A
+ * VM of which this leader knows nothing may hold a lease of the former leader; it is waited out.
+ * This class is confined to one thread.
+ */
+public final class LeaseTable {
+
+  private final long electedMillis;
+  private final Map<String, Entry> entries = new HashMap<>();
+
+  private record Entry(long confirmedVersion, long leaseBoundMillis) {}
+
+  /**
+   * Creates the table of a new leader.
+   *
+   * @param electedMillis when the leader was elected, on its monotonic clock
+   */
+  public LeaseTable(long electedMillis) {
+    this.electedMillis = electedMillis;
+  }
+
+  /**
+   * Records what a VM confirmed and the lease that it is granted.
+   *
+   * @param vm the name of the VM
+   * @param confirmedVersion the version of the view that the VM acts on
+   * @param now the present time on the leader's monotonic clock, in milliseconds
+   */
+  public void grant(String vm, long confirmedVersion, long now) {
+    entries.put(vm, new Entry(confirmedVersion, now + LeaseTimings.LEASE_BOUND_MILLIS));
+  }
+
+  /**
+   * Records that a VM gave its lease back and serves nothing any more.
+   *
+   * @param vm the name of the VM
+   * @param now the present time on the leader's monotonic clock, in milliseconds
+   */
+  public void release(String vm, long now) {
+    entries.put(vm, new Entry(0, now - LeaseTimings.KEY_GRACE_BOUND_MILLIS));
+  }
+
+  /**
+   * Tells whether a VM may hold a lease granted by this leader.
+   *
+   * @param vm the name of the VM
+   * @param now the present time on the leader's monotonic clock, in milliseconds
+   */
+  public boolean mayHoldLease(String vm, long now) {
+    Entry entry = entries.get(vm);
+    return entry != null && now < entry.leaseBoundMillis();
+  }
+
+  /**
+   * Returns the VMs that may still act on an older version.
+   *
+   * @param version the version of the view
+   * @param view the current view
+   * @param graceMillis how long after its lease a VM may still act on the matter in question, in
+   *     milliseconds
+   * @param now the present time on the leader's monotonic clock, in milliseconds
+   * @return the names of the VMs; empty once the version is in force
+   */
+  public List<String> waitingFor(long version, View view, long graceMillis, long now) {
+    Set<String> names = new HashSet<>(view.vms().keySet());
+    names.addAll(entries.keySet());
+    List<String> waiting = new ArrayList<>();
+    for (String name : names) {
+      Entry entry = entries.get(name);
+      long confirmed = entry == null ? 0 : entry.confirmedVersion();
+      long bound =
+          entry == null
+              ? electedMillis + LeaseTimings.LEASE_BOUND_MILLIS
+              : entry.leaseBoundMillis();
+      if (confirmed < version && now < bound + graceMillis) {
+        waiting.add(name);
+      }
+    }
+    waiting.sort(null);
+    return waiting;
+  }
+}
--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/control/LeaseTimings.java
@@ -0,0 +1,22 @@
+package org.cowslipdale.core.control;
+
+/** Durations of view leases, in milliseconds. */
+public final class LeaseTimings {
+
+  /** How long a lease lasts, counted from when the VM sent its request. */
+  public static final long LEASE_MILLIS = 2_000;
+
+  /** The leader's bound on a lease; longer by the bound on clock drift between two VMs. */
+  public static final long LEASE_BOUND_MILLIS = 2_200;
+
+  /** How often a VM renews its lease. */
+  public static final long RENEWAL_MILLIS = 500;
+
+  /** How long a VM without a lease still accepts the keys that it knows. */
+  public static final long KEY_GRACE_MILLIS = 3_000;
+
+  /** The leader's bound on {@link #KEY_GRACE_MILLIS} after a lease. */
+  public static final long KEY_GRACE_BOUND_MILLIS = 3_300;
+
+  private LeaseTimings() {}
+}
--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/FailoverCoordinator.java
@@ -0,0 +1,128 @@
+package org.cowslipdale.core.failover;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongPredicate;
+import org.cowslipdale.core.backend.BackendRegistry;
+import org.cowslipdale.core.session.LogPosition;
+import org.cowslipdale.core.view.Database;
+import org.cowslipdale.core.view.View;
+
+/**
+ * Conducts the changes of primary of all databases; one instance lives for one leadership.
+ *
+ * <p>This class is confined to one thread.
+ */
+public final class FailoverCoordinator {
+
+  private final Map<String, GroupFailover> groups = new HashMap<>();
+  private final Map<String, Set<ProbeReport>> reports = new HashMap<>();
+  private final Map<String, Long> termVersions = new HashMap<>();
+
+  /**
+   * Replaces the reports of a VM.
+   *
+   * @param vm the name of the VM
+   * @param current the primaries that it cannot reach
+   */
+  public void report(String vm, List<ProbeReport> current) {
+    reports.put(vm, new HashSet<>(current));
+  }
+
+  /**
+   * Advances all changes of primary.
+   *
+   * @param view the view
+   * @param registry the known backend servers
+   * @param leaseHolders the VMs that may hold a lease
+   * @param inForce tells whether a version of the view is in force
+   * @param now the present time on the leader's monotonic clock, in milliseconds
+   * @return what is to be done
+   */
+  public List<FailoverAction> tick(
+      View view,
+      BackendRegistry registry,
+      Set<String> leaseHolders,
+      LongPredicate inForce,
+      long now) {
+    List<FailoverAction> actions = new ArrayList<>();
+    groups.keySet().retainAll(view.configuration().databases().keySet());
+    for (Database database : view.configuration().databases().values()) {
+      String name = database.name();
+      GroupFailover group = groups.computeIfAbsent(name, GroupFailover::new);
+      actions.addAll(
+          group.tick(
+              new GroupFailover.Situation(
+                  database,
+                  view.database(name),
+                  registry.group(name),
+                  isSuspect(view, name, leaseHolders),
+                  isTermInForce(view, name, inForce),
+                  now)));
+    }
+    return actions;
+  }
+
+  /**
+   * Takes in the version of the view at which a database's term changed.
+   *
+   * @param database the database
+   * @param version the version of the view
+   */
+  public void termChanged(String database, long version) {
+    termVersions.put(database, version);
+  }
+
+  /**
+   * Takes in the position of a server.
+   *
+   * @param database the database
+   * @param term the term for which the position was asked
+   * @param server the name of the server
+   * @param position its position
+   */
+  public void position(String database, long term, String server, LogPosition position) {
+    GroupFailover group = groups.get(database);
+    if (group != null) {
+      group.position(term, server, position);
+    }
+  }
+
+  /**
+   * Takes in a server's confirmation that it is the primary of a term.
+   *
+   * @param database the database
+   * @param term the term
+   * @param server the name of the server
+   * @param startOffset the log offset at which it began to write
+   * @param now the present time on the leader's monotonic clock, in milliseconds
+   */
+  public Optional<FailoverAction> promoted(
+      String database, long term, String server, long startOffset, long now) {
+    GroupFailover group = groups.get(database);
+    return group == null ? Optional.empty() : group.promoted(term, server, startOffset, now);
+  }
+
+  /** A primary is suspect when most of the probing VMs that hold a lease cannot reach it. */
+  private boolean isSuspect(View view, String database, Set<String> leaseHolders) {
+    ProbeReport wanted = new ProbeReport(database, view.database(database).term());
+    int asked = 0;
+    int failed = 0;
+    for (String vm : ProbeAssignment.probers(view, database)) {
+      if (leaseHolders.contains(vm)) {
+        asked++;
+        failed += reports.getOrDefault(vm, Set.of()).contains(wanted) ? 1 : 0;
+      }
+    }
+    return failed * 2 > asked;
+  }
+
+  private boolean isTermInForce(View view, String database, LongPredicate inForce) {
+    return inForce.test(termVersions.getOrDefault(database, view.version()));
+  }
+}
--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
@@ -0,0 +1,318 @@
+package org.cowslipdale.core.failover;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.cowslipdale.core.backend.BackendGroup;
+import org.cowslipdale.core.backend.BackendServer;
+import org.cowslipdale.core.backend.ServerRole;
+import org.cowslipdale.core.session.LogPosition;
+import org.cowslipdale.core.view.Database;
+import org.cowslipdale.core.view.DatabaseState;
+import org.cowslipdale.core.view.ViewCommand;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The change of primary of one database, as one control leader conducts it.
+ *
+ * <p>The steps: begin a term without a primary; wait until it is in force, so that no VM
+ * acknowledges a write of the former primary any more; read the positions of a majority of the
+ * group; promote the highest; appoint it. A write that a majority had before it was acknowledged is
+ * therefore never lost. A leader only continues terms that it began itself, so no term ever gets
+ * two primaries. This class is confined to one thread.
+ */
+final class GroupFailover {
+
+  private static final long STEP_TIMEOUT_MILLIS = 1_200;
+  private static final long CATCH_UP_MILLIS = 800;
+  private static final long SETTLE_MILLIS = 2_000;
+  private static final long FOLLOW_INTERVAL_MILLIS = 1_000;
+  private static final long STALE_REPLICA_MILLIS = 2_000;
+
+  private final String database;
+  private final Map<String, Long> orderedMillis = new HashMap<>();
+  private final Map<String, LogPosition> positions = new HashMap<>();
+  private Step step = Step.STEADY;
+  private long stepMillis;
+  private long ownTerm;
+  private @Nullable String formerPrimary;
+  private @Nullable String chosen;
+  private long completedMillis = Long.MIN_VALUE / 2;
+  private long completedTerm;
+
+  private enum Step {
+    STEADY,
+    BEGINNING,
+    FENCING,
+    READING,
+    CATCHING_UP,
+    PROMOTING,
+    COMPLETING
+  }
+
+  /**
+   * What the coordinator knows at the present time.
+   *
+   * @param declared the database as declared
+   * @param state the term and primary in the view
+   * @param group the known servers
+   * @param suspect whether the probing VMs agree that the primary is unreachable
+   * @param termInForce whether the current term is in force on every VM
+   * @param now the present time on the leader's monotonic clock, in milliseconds
+   */
+  record Situation(
+      Database declared,
+      DatabaseState state,
+      BackendGroup group,
+      boolean suspect,
+      boolean termInForce,
+      long now) {}
+
+  GroupFailover(String database) {
+    this.database = database;
+  }
+
+  /** Advances the change of primary and returns what is to be done. */
+  List<FailoverAction> tick(Situation situation) {
+    List<FailoverAction> actions = new ArrayList<>();
+    switch (step) {
+      case STEADY -> steady(situation, actions);
+      case BEGINNING -> beginning(situation);
+      case FENCING -> fencing(situation, actions);
+      case READING -> reading(situation, actions);
+      case CATCHING_UP -> catchingUp(situation, actions);
+      case PROMOTING -> promoting(situation);
+      case COMPLETING -> completing(situation);
+    }
+    return actions;
+  }
+
+  /** Takes in the position of a server. */
+  void position(long term, String server, LogPosition position) {
+    if (term == ownTerm && (step == Step.READING || step == Step.CATCHING_UP)) {
+      positions.merge(server, position, LogPosition::max);
+    }
+  }
+
+  /** Takes in a server's confirmation that it is the primary of a term. */
+  Optional<FailoverAction> promoted(long term, String server, long startOffset, long now) {
+    if (term != ownTerm || step != Step.PROMOTING || !server.equals(chosen)) {
+      return Optional.empty();
+    }
+    enter(Step.COMPLETING, now);
+    return Optional.of(
+        new FailoverAction.Propose(
+            new ViewCommand.CompleteTerm(database, term, server, startOffset)));
+  }
+
+  private void steady(Situation situation, List<FailoverAction> actions) {
+    DatabaseState state = situation.state();
+    if (completedTerm != state.completedTerm()) {
+      completedTerm = state.completedTerm();
+      completedMillis = situation.now();
+    }
+    if (needsChange(situation)) {
+      formerPrimary = state.primary();
+      ownTerm = state.term() + 1;
+      enter(Step.BEGINNING, situation.now());
+      actions.add(new FailoverAction.Propose(new ViewCommand.BeginTerm(database, ownTerm)));
+      return;
+    }
+    orderFollowers(situation, actions);
+  }
+
+  private boolean needsChange(Situation situation) {
+    DatabaseState state = situation.state();
+    boolean enoughServers = situation.group().servers().size() >= situation.declared().majority();
+    if (!enoughServers) {
+      return false;
+    }
+    String primary = state.primary();
+    if (primary == null) {
+      return true;
+    }
+    boolean settled = situation.now() - completedMillis >= SETTLE_MILLIS;
+    Optional<BackendServer> server = situation.group().server(primary);
+    boolean demoted =
+        settled && server.isPresent() && server.get().announcement().role() != ServerRole.PRIMARY;
+    boolean leaving = server.isPresent() && server.get().announcement().leaving();
+    return situation.suspect() || demoted || (leaving && hasSuccessor(situation, primary));
+  }
+
+  private static boolean hasSuccessor(Situation situation, String primary) {
+    return situation.group().servers().values().stream()
+        .anyMatch(server -> !server.name().equals(primary) && !server.announcement().leaving());
+  }
+
+  private void beginning(Situation situation) {
+    if (situation.state().term() == ownTerm && situation.state().primary() == null) {
+      enter(Step.FENCING, situation.now());
+    } else if (isOverdue(situation.now()) || situation.state().term() > ownTerm) {
+      enter(Step.STEADY, situation.now());
+    }
+  }
+
+  private void fencing(Situation situation, List<FailoverAction> actions) {
+    if (abandonedByOthers(situation) || !situation.termInForce()) {
+      return;
+    }
+    positions.clear();
+    enter(Step.READING, situation.now());
+    for (BackendServer server : situation.group().servers().values()) {
+      actions.add(query(server, 0, 0));
+    }
+  }
+
+  private void reading(Situation situation, List<FailoverAction> actions) {
+    if (abandonedByOthers(situation)) {
+      return;
+    }
+    boolean all = positions.keySet().containsAll(situation.group().servers().keySet());
+    boolean majority = positions.size() >= situation.declared().majority();
+    long waited = situation.now() - stepMillis;
+    if (majority && (all || waited >= PrimaryProbe.TIMEOUT_MILLIS / 2)) {
+      enter(Step.CATCHING_UP, situation.now());
+      catchingUp(situation, actions);
+    } else if (isOverdue(situation.now())) {
+      enter(Step.FENCING, situation.now());
+    }
+  }
+
+  /** Prefers a healthy server, and waits a moment for it to reach the highest position. */
+  private void catchingUp(Situation situation, List<FailoverAction> actions) {
+    if (abandonedByOthers(situation)) {
+      return;
+    }
+    LogPosition highest = positions.values().stream().max(Comparator.naturalOrder()).orElseThrow();
+    Optional<BackendServer> best =
+        candidates(situation).stream()
+            .filter(server -> isPreferred(server))
+            .filter(server -> highest.equals(positions.get(server.name())))
+            .findFirst();
+    boolean waited = situation.now() - stepMillis >= CATCH_UP_MILLIS;
+    if (best.isEmpty() && !waited) {
+      actions.addAll(queryPreferred(situation, highest));
+      return;
+    }
+    Optional<BackendServer> server =
+        best.or(
+            () ->
+                candidates(situation).stream()
+                    .filter(other -> highest.equals(positions.get(other.name())))
+                    .findFirst());
+    if (server.isEmpty()) {
+      enter(Step.FENCING, situation.now());
+      return;
+    }
+    chosen = server.get().name();
+    enter(Step.PROMOTING, situation.now());
+    actions.add(order(server.get(), ownTerm, null));
+  }
+
+  private List<FailoverAction> queryPreferred(Situation situation, LogPosition highest) {
+    List<FailoverAction> queries = new ArrayList<>();
+    for (BackendServer server : candidates(situation)) {
+      boolean due = dueOrder(server.name(), situation.now(), CATCH_UP_MILLIS);
+      if (isPreferred(server) && due) {
+        queries.add(query(server, highest.offset(), CATCH_UP_MILLIS));
+      }
+    }
+    return queries;
+  }
+
+  private boolean isPreferred(BackendServer server) {
+    return !server.name().equals(formerPrimary) && !server.announcement().leaving();
+  }
+
+  private List<BackendServer> candidates(Situation situation) {
+    List<BackendServer> candidates = new ArrayList<>(situation.group().servers().values());
+    candidates.removeIf(server -> !positions.containsKey(server.name()));
+    candidates.sort(Comparator.comparing(BackendServer::name));
+    return candidates;
+  }
+
+  private void promoting(Situation situation) {
+    if (!abandonedByOthers(situation) && isOverdue(situation.now())) {
+      restart(situation.now());
+    }
+  }
+
+  private void completing(Situation situation) {
+    boolean done = situation.state().term() == ownTerm && situation.state().primary() != null;
+    if (done) {
+      completedMillis = situation.now();
+      completedTerm = ownTerm;
+      orderedMillis.clear();
+      enter(Step.STEADY, situation.now());
+    } else if (!abandonedByOthers(situation) && isOverdue(situation.now())) {
+      restart(situation.now());
+    }
+  }
+
+  /** Begins another term, because the outcome of an order to this term's primary is not known. */
+  private void restart(long now) {
+    enter(Step.STEADY, now);
+  }
+
+  private boolean abandonedByOthers(Situation situation) {
+    boolean abandoned = situation.state().term() != ownTerm;
+    if (abandoned) {
+      enter(Step.STEADY, situation.now());
+    }
+    return abandoned;
+  }
+
+  /** Orders servers that do not hold the current history to follow the primary. */
+  private void orderFollowers(Situation situation, List<FailoverAction> actions) {
+    DatabaseState state = situation.state();
+    Optional<BackendServer> primary =
+        state.primary() == null ? Optional.empty() : situation.group().server(state.primary());
+    if (primary.isEmpty()) {
+      return;
+    }
+    Collection<BackendServer> servers = situation.group().servers().values();
+    for (BackendServer server : servers) {
+      boolean other = !Objects.equals(server.name(), state.primary());
+      boolean detached =
+          server.announcement().role() == ServerRole.PRIMARY
+              || server.position().term() != state.term()
+              || server.announcement().ageMillis() > STALE_REPLICA_MILLIS;
+      if (other && detached && dueOrder(server.name(), situation.now(), FOLLOW_INTERVAL_MILLIS)) {
+        actions.add(order(server, state.term(), primary.get().announcement().address()));
+      }
+    }
+  }
+
+  private boolean dueOrder(String server, long now, long intervalMillis) {
+    Long last = orderedMillis.get(server);
+    boolean due = last == null || now - last >= intervalMillis;
+    if (due) {
+      orderedMillis.put(server, now);
+    }
+    return due;
+  }
+
+  private FailoverAction query(BackendServer server, long minOffset, long waitMillis) {
+    return new FailoverAction.QueryPosition(
+        database, ownTerm, server.name(), server.announcement().address(), minOffset, waitMillis);
+  }
+
+  private FailoverAction order(BackendServer server, long term, @Nullable String primary) {
+    return new FailoverAction.Order(
+        database, term, server.name(), server.announcement().address(), primary);
+  }
+
+  private boolean isOverdue(long now) {
+    return now - stepMillis >= STEP_TIMEOUT_MILLIS;
+  }
+
+  private void enter(Step next, long now) {
+    step = next;
+    stepMillis = now;
+  }
+}
--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/ProbeReport.java
@@ -0,0 +1,17 @@
+package org.cowslipdale.core.failover;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * A VM's statement that it cannot reach a primary.
+ *
+ * @param database the database
+ * @param term the term of the primary
+ */
+public record ProbeReport(String database, long term) {
+
+  /** Asserts that the database is set. */
+  public ProbeReport {
+    requireNonNull(database, "database");
+  }
+}
--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * Detection of failed primaries and the change to another primary.
+ *
+ * <p>Nothing in this package accepts or returns {@code null} unless it is marked {@code @Nullable}.
+ */
+@NullMarked
+package org.cowslipdale.core.failover;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/quota/TokenOwner.java
@@ -0,0 +1,112 @@
+package org.cowslipdale.core.quota;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Issues the tokens of all customers; one instance acts for the whole fleet, on the control leader.
+ *
+ * <p>Every token is issued once, so all VMs together admit no more than rate and burst allow. A new
+ * leader does not know what its predecessor issued and starts with what the rate has yielded since
+ * its election. Issued tokens count against the burst until they are reported as used or expire, so
+ * a stock of tokens on VMs cannot add to the burst. This class is confined to one thread.
+ */
+public final class TokenOwner {
+
+  /** How long a VM may use the tokens of a grant, counted from when it sent its request. */
+  public static final long GRANT_MILLIS = 2_000;
+
+  private static final long GRANT_BOUND_MILLIS = 2_200;
+
+  private final long electedMillis;
+  private final Map<String, Bucket> buckets = new HashMap<>();
+
+  private static final class Bucket {
+
+    private double tokens;
+    private long refilledMillis;
+    private final Map<String, Stock> stocks = new HashMap<>();
+
+    Bucket(long refilledMillis) {
+      this.refilledMillis = refilledMillis;
+    }
+  }
+
+  /** The unused tokens of one VM. */
+  private record Stock(long tokens, long expiresMillis) {}
+
+  /**
+   * The limits of a customer.
+   *
+   * @param ratePerSecond tokens per second
+   * @param burst the most tokens that may be unused at a time
+   */
+  public record Limit(double ratePerSecond, long burst) {}
+
+  /**
+   * An answer to a request for tokens.
+   *
+   * @param tokens the tokens issued; may be 0
+   * @param retryMillis when it is worth to ask again, in milliseconds
+   */
+  public record Grant(long tokens, long retryMillis) {}
+
+  /**
+   * Creates the owner on a new leader.
+   *
+   * @param electedMillis when the leader was elected, on its monotonic clock
+   */
+  public TokenOwner(long electedMillis) {
+    this.electedMillis = electedMillis;
+  }
+
+  /**
+   * Issues tokens to a VM.
+   *
+   * @param customer the customer
+   * @param limit the customer's limits
+   * @param vm the VM that asks
+   * @param unused the tokens that the VM still has from earlier grants
+   * @param wanted the tokens that the VM wants
+   * @param vms the number of VMs that share the burst
+   * @param now the present time on the leader's monotonic clock, in milliseconds
+   */
+  public Grant issue(
+      String customer, Limit limit, String vm, long unused, long wanted, int vms, long now) {
+    Bucket bucket = buckets.computeIfAbsent(customer, name -> new Bucket(electedMillis));
+    long kept = Math.min(unused, remaining(bucket.stocks.get(vm), now));
+    if (kept == 0) {
+      bucket.stocks.remove(vm);
+    } else {
+      bucket.stocks.put(vm, new Stock(kept, now + GRANT_BOUND_MILLIS));
+    }
+    refill(bucket, limit, now);
+    long share = Math.max(1, limit.burst() / (2L * Math.max(1, vms)));
+    long issued = Math.min(Math.min(wanted, share), (long) Math.floor(bucket.tokens));
+    if (issued <= 0) {
+      double missing = 1 - bucket.tokens;
+      long wait = (long) Math.ceil(missing * 1_000 / limit.ratePerSecond());
+      return new Grant(0, Math.max(1, wait));
+    }
+    bucket.tokens -= issued;
+    bucket.stocks.put(vm, new Stock(kept + issued, now + GRANT_BOUND_MILLIS));
+    return new Grant(issued, 0);
+  }
+
+  private void refill(Bucket bucket, Limit limit, long now) {
+    long outstanding = 0;
+    bucket.stocks.values().removeIf(stock -> stock.expiresMillis() <= now);
+    for (Stock stock : bucket.stocks.values()) {
+      outstanding += stock.tokens();
+    }
+    double earned = (now - bucket.refilledMillis) * limit.ratePerSecond() / 1_000;
+    double cap = Math.max(0, limit.burst() - outstanding);
+    bucket.tokens = Math.min(cap, bucket.tokens + earned);
+    bucket.refilledMillis = now;
+  }
+
+  private static long remaining(@Nullable Stock stock, long now) {
+    return stock == null || stock.expiresMillis() <= now ? 0 : stock.tokens();
+  }
+}
--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/result/CowslipException.java
@@ -0,0 +1,38 @@
+package org.cowslipdale.core.result;
+
+import static java.util.Objects.requireNonNull;
+
+import org.jspecify.annotations.Nullable;
+
+/** Base of all checked exceptions of cowslipdale; carries the {@link ResultCode} to report. */
+public class CowslipException extends Exception {
+
+  private final ResultCode code;
+
+  /**
+   * Creates an exception without a cause.
+   *
+   * @param code the code to report
+   * @param message what happened, for people
+   */
+  public CowslipException(ResultCode code, String message) {
+    this(code, message, null);
+  }
+
+  /**
+   * Creates an exception.
+   *
+   * @param code the code to report
+   * @param message what happened, for people
+   * @param cause the underlying failure, if any
+   */
+  public CowslipException(ResultCode code, String message, @Nullable Throwable cause) {
+    super(message, cause);
+    this.code = requireNonNull(code, "code");
+  }
+
+  /** Returns the code to report. */
+  public ResultCode code() {
+    return code;
+  }
+}
--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/DefaultRouter.java
@@ -0,0 +1,185 @@
+package org.cowslipdale.core.routing;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cowslipdale.core.backend.BackendGroup;
+import org.cowslipdale.core.backend.BackendServer;
+import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.routing.RouteDecision.Conditions;
+import org.cowslipdale.core.session.LogPosition;
+import org.cowslipdale.core.view.DatabaseState;
+import org.cowslipdale.core.view.Freshness;
+
+/**
+ * Routes writes to the primary of the view and reads to a server that is fresh enough.
+ *
+ * <p>Only servers that hold the history of the latest completed term are considered, so a replaced
+ * primary and replicas that still follow it serve no reads on a VM that knows of the change. The
+ * position and age that this class knows may be out of date; the server checks the {@link
+ * Conditions} again when it runs the request.
+ */
+public final class DefaultRouter implements Router {
+
+  /** How long a replica that is slightly behind may wait to reach a session's position. */
+  private static final long CATCH_UP_MILLIS = 40;
+
+  private static final long ANY_AGE = Long.MAX_VALUE;
+
+  private final String failureDomain;
+  private final String region;
+  private final RoutingPolicy policy;
+  private final ServerLoad load;
+  private final AtomicInteger turn = new AtomicInteger();
+
+  /**
+   * Creates a router.
+   *
+   * @param failureDomain the failure domain of this VM
+   * @param region the region of this VM
+   * @param policy how reads are spread
+   * @param load the load and health of servers as seen by this VM
+   */
+  public DefaultRouter(String failureDomain, String region, RoutingPolicy policy, ServerLoad load) {
+    this.failureDomain = requireNonNull(failureDomain, "failureDomain");
+    this.region = requireNonNull(region, "region");
+    this.policy = requireNonNull(policy, "policy");
+    this.load = requireNonNull(load, "load");
+  }
+
+  @Override
+  public RouteDecision route(
+      RouteRequest request, BackendGroup group, DatabaseState state, LeaseStatus lease, long now) {
+    LogPosition seen = request.seen();
+    if (seen.term() > state.completedTerm()) {
+      return new RouteDecision.Wait(ResultCode.NO_FRESH_SERVER);
+    }
+    if (!state.contains(seen)) {
+      return new RouteDecision.Refuse(ResultCode.SESSION_POSITION_LOST);
+    }
+    if (needsPrimary(request)) {
+      return primary(group, state, lease, now);
+    }
+    return read(request, group, state, lease, now);
+  }
+
+  private static boolean needsPrimary(RouteRequest request) {
+    return !request.workClass().readOnly()
+        || request.workClass().freshness() instanceof Freshness.Latest;
+  }
+
+  private static RouteDecision primary(
+      BackendGroup group, DatabaseState state, LeaseStatus lease, long now) {
+    if (!lease.isValid(now)) {
+      return new RouteDecision.Wait(ResultCode.NO_LEASE);
+    }
+    Optional<BackendServer> primary = currentPrimary(group, state);
+    if (primary.isEmpty()) {
+      return new RouteDecision.Wait(ResultCode.NO_PRIMARY);
+    }
+    return new RouteDecision.RunOn(
+        primary.get(), state.term(), new Conditions(true, 0, 0, ANY_AGE));
+  }
+
+  private RouteDecision read(
+      RouteRequest request, BackendGroup group, DatabaseState state, LeaseStatus lease, long now) {
+    long allowedAge = allowedAgeMillis(request.workClass().freshness(), lease, now);
+    if (allowedAge < 0) {
+      return new RouteDecision.Wait(ResultCode.NO_FRESH_SERVER);
+    }
+    List<BackendServer> candidates = candidates(request, group, state, allowedAge, now);
+    if (candidates.isEmpty()) {
+      return new RouteDecision.Wait(ResultCode.NO_FRESH_SERVER);
+    }
+    BackendServer chosen = choose(candidates, group, state);
+    long offset = request.seen().offset();
+    long wait = chosen.observedOffset() >= offset ? 0 : CATCH_UP_MILLIS;
+    return new RouteDecision.RunOn(
+        chosen, state.completedTerm(), new Conditions(false, offset, wait, allowedAge));
+  }
+
+  /**
+   * Returns the greatest age that a server may state for its data.
+   *
+   * <p>Once the lease has ended, another primary may write where this VM cannot see it. Whatever a
+   * server holds is then known to be current only as of the end of the lease at the latest.
+   */
+  private static long allowedAgeMillis(Freshness freshness, LeaseStatus lease, long now) {
+    return switch (freshness) {
+      case Freshness.BoundedAge bounded -> bounded.maxAgeMillis() - lease.expiredForMillis(now);
+      case Freshness.Latest latest -> 0;
+      case Freshness.Session session -> ANY_AGE;
+      case Freshness.AnyAge any -> ANY_AGE;
+    };
+  }
+
+  private List<BackendServer> candidates(
+      RouteRequest request, BackendGroup group, DatabaseState state, long allowedAge, long now) {
+    List<BackendServer> candidates = new ArrayList<>();
+    for (BackendServer server : group.servers().values()) {
+      boolean suits =
+          !server.announcement().leaving()
+              && !request.tried().contains(server.name())
+              && server.position().term() == state.completedTerm()
+              && isFreshEnough(server, request.seen(), allowedAge, now);
+      if (suits) {
+        candidates.add(server);
+      }
+    }
+    List<BackendServer> healthy = new ArrayList<>(candidates);
+    healthy.removeIf(server -> load.isEjected(server.name(), group.servers().keySet(), now));
+    return healthy.isEmpty() ? candidates : healthy;
+  }
+
+  private static boolean isFreshEnough(
+      BackendServer server, LogPosition seen, long allowedAge, long now) {
+    long age = server.ageMillis(now);
+    if (age > allowedAge) {
+      return false;
+    }
+    boolean reached = server.observedOffset() >= seen.offset();
+    boolean reachesSoon = server.announcement().ageMillis() <= CATCH_UP_MILLIS;
+    return reached || reachesSoon;
+  }
+
+  private BackendServer choose(
+      List<BackendServer> candidates, BackendGroup group, DatabaseState state) {
+    return switch (policy) {
+      case RoutingPolicy.NearestReplica nearest ->
+          candidates.stream().min(preference(state)).orElseThrow();
+      case RoutingPolicy.RoundRobin robin ->
+          candidates.get(Math.floorMod(turn.getAndIncrement(), candidates.size()));
+      case RoutingPolicy.PrimaryOnly only ->
+          currentPrimary(group, state)
+              .filter(candidates::contains)
+              .orElseGet(() -> candidates.getFirst());
+    };
+  }
+
+  private Comparator<BackendServer> preference(DatabaseState state) {
+    return Comparator.comparingInt(this::distance)
+        .thenComparing(server -> server.name().equals(state.primary()))
+        .thenComparingInt(this::relativeLoad)
+        .thenComparing(BackendServer::name);
+  }
+
+  private int distance(BackendServer server) {
+    if (server.announcement().failureDomain().equals(failureDomain)) {
+      return 0;
+    }
+    return server.announcement().region().equals(region) ? 1 : 2;
+  }
+
+  private int relativeLoad(BackendServer server) {
+    return load.outstanding(server.name()) * 100 / server.announcement().slots();
+  }
+
+  private static Optional<BackendServer> currentPrimary(BackendGroup group, DatabaseState state) {
+    String primary = state.primary();
+    return primary == null ? Optional.empty() : group.server(primary);
+  }
+}
--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/view/Configuration.java
@@ -0,0 +1,126 @@
+package org.cowslipdale.core.view;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.Function;
+
+/**
+ * Everything that operators declare, keyed by name.
+ *
+ * @param classes the classes of work
+ * @param customers the customers
+ * @param openRoutes the routes open to all
+ * @param databases the database groups
+ */
+public record Configuration(
+    Map<String, WorkClass> classes,
+    Map<String, Customer> customers,
+    Map<String, OpenRoute> openRoutes,
+    Map<String, Database> databases) {
+
+  /** A configuration that declares nothing. */
+  public static final Configuration EMPTY =
+      new Configuration(Map.of(), Map.of(), Map.of(), Map.of());
+
+  /** Copies the maps. */
+  public Configuration {
+    classes = Map.copyOf(classes);
+    customers = Map.copyOf(customers);
+    openRoutes = Map.copyOf(openRoutes);
+    databases = Map.copyOf(databases);
+  }
+
+  /**
+   * Returns the change that turns this configuration into another one.
+   *
+   * @param target the configuration wanted
+   */
+  public ConfigurationChange changeTo(Configuration target) {
+    return new ConfigurationChange(
+        added(classes, target.classes),
+        removed(classes, target.classes),
+        added(customers, target.customers),
+        removed(customers, target.customers),
+        added(openRoutes, target.openRoutes),
+        removed(openRoutes, target.openRoutes),
+        added(databases, target.databases),
+        removed(databases, target.databases));
+  }
+
+  /**
+   * Returns this configuration after a change.
+   *
+   * @param change the change to apply
+   */
+  public Configuration apply(ConfigurationChange change) {
+    return new Configuration(
+        merge(classes, change.putClasses(), change.removeClasses(), WorkClass::name),
+        merge(customers, change.putCustomers(), change.removeCustomers(), Customer::name),
+        merge(openRoutes, change.putOpenRoutes(), change.removeOpenRoutes(), OpenRoute::name),
+        merge(databases, change.putDatabases(), change.removeDatabases(), Database::name));
+  }
+
+  /** Returns the references to undeclared names and other contradictions; empty if valid. */
+  public List<String> problems() {
+    List<String> problems = new ArrayList<>();
+    for (Customer customer : customers.values()) {
+      for (String database : customer.databases()) {
+        if (!databases.containsKey(database)) {
+          problems.add("customer %s uses unknown database %s".formatted(customer.name(), database));
+        }
+      }
+    }
+    for (OpenRoute route : openRoutes.values()) {
+      problems.addAll(problems(route));
+    }
+    return problems;
+  }
+
+  private List<String> problems(OpenRoute route) {
+    List<String> problems = new ArrayList<>();
+    if (!databases.containsKey(route.database())) {
+      problems.add(
+          "open-route %s uses unknown database %s".formatted(route.name(), route.database()));
+    }
+    WorkClass workClass = classes.get(route.workClass());
+    if (workClass == null) {
+      problems.add(
+          "open-route %s uses unknown class %s".formatted(route.name(), route.workClass()));
+    } else if (!workClass.readOnly()) {
+      problems.add(
+          "open-route %s uses class %s, which is not read-only"
+              .formatted(route.name(), route.workClass()));
+    }
+    return problems;
+  }
+
+  private static <T> List<T> added(Map<String, T> from, Map<String, T> to) {
+    List<T> added = new ArrayList<>();
+    for (Map.Entry<String, T> entry : to.entrySet()) {
+      if (!Objects.equals(from.get(entry.getKey()), entry.getValue())) {
+        added.add(entry.getValue());
+      }
+    }
+    return added;
+  }
+
+  private static <T> List<String> removed(Map<String, T> from, Map<String, T> to) {
+    return from.keySet().stream().filter(name -> !to.containsKey(name)).sorted().toList();
+  }
+
+  private static <T> Map<String, T> merge(
+      Map<String, T> base, List<T> put, List<String> remove, Function<T, String> name) {
+    if (put.isEmpty() && remove.isEmpty()) {
+      return base;
+    }
+    Map<String, T> merged = new HashMap<>(base);
+    remove.forEach(merged::remove);
+    for (T item : put) {
+      merged.put(name.apply(item), item);
+    }
+    return merged;
+  }
+}
--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/view/View.java
@@ -0,0 +1,243 @@
+package org.cowslipdale.core.view;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.view.DatabaseState.TermStart;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The state that every VM must know: configuration, keys, VMs and the primaries of databases.
+ *
+ * <p>A view is immutable. Applying the same commands in the same order gives equal views on every
+ * VM, so the accepted commands are also the differences that are sent between VMs.
+ *
+ * @param version the number of commands accepted so far
+ * @param configurationVersion the number of configuration changes accepted so far
+ * @param configuration what operators declared
+ * @param keys the keys that are in use, by key id
+ * @param databases the terms and primaries, by database name
+ * @param vms the registered VMs, by name
+ */
+public record View(
+    long version,
+    long configurationVersion,
+    Configuration configuration,
+    Map<String, ApiKey> keys,
+    Map<String, DatabaseState> databases,
+    Map<String, VmRecord> vms) {
+
+  /** The view before the first command. */
+  public static final View EMPTY =
+      new View(0, 0, Configuration.EMPTY, Map.of(), Map.of(), Map.of());
+
+  /** How long after its proposal a change of the set of claim holders takes effect. */
+  public static final long CLAIM_CHANGE_DELAY_MILLIS = 10_000;
+
+  /** How long the record of a removed VM is kept, because request claims may refer to it. */
+  public static final long CLAIM_RETENTION_MILLIS = 600_000;
+
+  /** Copies the maps. */
+  public View {
+    requireNonNull(configuration, "configuration");
+    keys = Map.copyOf(keys);
+    databases = Map.copyOf(databases);
+    vms = Map.copyOf(vms);
+  }
+
+  /**
+   * Applies a command.
+   *
+   * @param command the command to apply
+   * @return the next view, or this one with the reason why the command was rejected
+   */
+  public Transition apply(ViewCommand command) {
+    return switch (command) {
+      case ViewCommand.ChangeConfiguration change -> changeConfiguration(change);
+      case ViewCommand.AddKey add -> addKey(add.key());
+      case ViewCommand.WithdrawKey withdraw -> withdrawKey(withdraw.keyId());
+      case ViewCommand.RemoveVm remove -> removeVm(remove.vm(), remove.proposedAtMillis());
+      case ViewCommand.RegisterVm register -> registerVm(register);
+      case ViewCommand.BeginTerm begin -> beginTerm(begin);
+      case ViewCommand.CompleteTerm complete -> completeTerm(complete);
+    };
+  }
+
+  /**
+   * Returns the state of a database.
+   *
+   * @param database the database name
+   */
+  public DatabaseState database(String database) {
+    return databases.getOrDefault(database, DatabaseState.INITIAL);
+  }
+
+  /** Returns the VMs that are members, sorted by name. */
+  public List<VmRecord> activeVms() {
+    return vms.values().stream()
+        .filter(VmRecord::active)
+        .sorted((a, b) -> a.name().compareTo(b.name()))
+        .toList();
+  }
+
+  private Transition changeConfiguration(ViewCommand.ChangeConfiguration command) {
+    if (command.expectedVersion() != configurationVersion) {
+      return rejected(
+          ResultCode.VERSION_CONFLICT,
+          "The configuration is at version %d, not %d."
+              .formatted(configurationVersion, command.expectedVersion()));
+    }
+    Configuration next = configuration.apply(command.change());
+    List<String> problems = next.problems();
+    if (!problems.isEmpty()) {
+      return rejected(ResultCode.INVALID_CHANGE, String.join("; ", problems));
+    }
+    Map<String, ApiKey> remainingKeys = new HashMap<>(keys);
+    remainingKeys.values().removeIf(key -> !next.customers().containsKey(key.customer()));
+    Map<String, DatabaseState> states = new HashMap<>(databases);
+    states.keySet().retainAll(next.databases().keySet());
+    return accepted(
+        new View(version + 1, configurationVersion + 1, next, remainingKeys, states, vms),
+        "Configuration version %d is accepted.".formatted(configurationVersion + 1));
+  }
+
+  private Transition addKey(ApiKey key) {
+    if (!configuration.customers().containsKey(key.customer())) {
+      return rejected(
+          ResultCode.NO_SUCH_OBJECT, "Customer %s does not exist.".formatted(key.customer()));
+    }
+    if (keys.containsKey(key.id())) {
+      return rejected(ResultCode.INVALID_CHANGE, "Key %s exists already.".formatted(key.id()));
+    }
+    return accepted(
+        withKeys(put(keys, key.id(), key)),
+        "Key %s of customer %s is added.".formatted(key.id(), key.customer()));
+  }
+
+  private Transition withdrawKey(String keyId) {
+    if (!keys.containsKey(keyId)) {
+      return rejected(ResultCode.NO_SUCH_OBJECT, "Key %s does not exist.".formatted(keyId));
+    }
+    Map<String, ApiKey> next = new HashMap<>(keys);
+    next.remove(keyId);
+    return accepted(withKeys(next), "Key %s is withdrawn.".formatted(keyId));
+  }
+
+  private Transition registerVm(ViewCommand.RegisterVm command) {
+    VmRecord vm = command.vm();
+    VmRecord known = vms.get(vm.name());
+    if (known != null && !known.active() && !isForgotten(known, command.proposedAtMillis())) {
+      return rejected(
+          ResultCode.INVALID_CHANGE,
+          "VM %s was removed; its name can be used again later.".formatted(vm.name()));
+    }
+    long claimsFrom = claimsFrom(known, command.proposedAtMillis());
+    VmRecord next =
+        new VmRecord(
+            vm.name(),
+            vm.failureDomain(),
+            vm.region(),
+            vm.peerAddress(),
+            claimsFrom,
+            Long.MAX_VALUE,
+            true);
+    if (Objects.equals(known, next)) {
+      return rejected(ResultCode.INVALID_CHANGE, "VM %s is unchanged.".formatted(vm.name()));
+    }
+    Map<String, VmRecord> members = new HashMap<>(vms);
+    members.values().removeIf(other -> isForgotten(other, command.proposedAtMillis()));
+    members.put(vm.name(), next);
+    return accepted(withVms(members), "VM %s is registered.".formatted(vm.name()));
+  }
+
+  private long claimsFrom(@Nullable VmRecord known, long now) {
+    if (known != null && known.active()) {
+      return known.claimsFromMillis();
+    }
+    boolean first = vms.values().stream().noneMatch(VmRecord::active);
+    return first ? 0 : now + CLAIM_CHANGE_DELAY_MILLIS;
+  }
+
+  private static boolean isForgotten(VmRecord vm, long now) {
+    return !vm.active() && vm.claimsUntilMillis() + CLAIM_RETENTION_MILLIS < now;
+  }
+
+  private Transition removeVm(String name, long now) {
+    VmRecord known = vms.get(name);
+    if (known == null || !known.active()) {
+      return rejected(ResultCode.NO_SUCH_OBJECT, "VM %s does not exist.".formatted(name));
+    }
+    VmRecord removed =
+        new VmRecord(
+            name,
+            known.failureDomain(),
+            known.region(),
+            known.peerAddress(),
+            known.claimsFromMillis(),
+            now + CLAIM_CHANGE_DELAY_MILLIS,
+            false);
+    return accepted(withVms(put(vms, name, removed)), "VM %s is removed.".formatted(name));
+  }
+
+  private Transition beginTerm(ViewCommand.BeginTerm command) {
+    DatabaseState state = database(command.database());
+    if (!configuration.databases().containsKey(command.database())
+        || command.term() != state.term() + 1) {
+      return rejected(
+          ResultCode.INVALID_CHANGE,
+          "Term %d of database %s cannot begin.".formatted(command.term(), command.database()));
+    }
+    DatabaseState next = new DatabaseState(command.term(), null, state.starts());
+    return accepted(
+        withDatabases(put(databases, command.database(), next)),
+        "Term %d of database %s began.".formatted(command.term(), command.database()));
+  }
+
+  private Transition completeTerm(ViewCommand.CompleteTerm command) {
+    DatabaseState state = database(command.database());
+    if (command.term() != state.term() || state.primary() != null) {
+      return rejected(
+          ResultCode.INVALID_CHANGE,
+          "Term %d of database %s cannot be completed."
+              .formatted(command.term(), command.database()));
+    }
+    List<TermStart> starts = new ArrayList<>(state.starts());
+    starts.add(new TermStart(command.term(), command.startOffset()));
+    DatabaseState next = new DatabaseState(command.term(), command.primary(), starts);
+    return accepted(
+        withDatabases(put(databases, command.database(), next)),
+        "Server %s is primary of database %s in term %d."
+            .formatted(command.primary(), command.database(), command.term()));
+  }
+
+  private View withKeys(Map<String, ApiKey> next) {
+    return new View(version + 1, configurationVersion, configuration, next, databases, vms);
+  }
+
+  private View withDatabases(Map<String, DatabaseState> next) {
+    return new View(version + 1, configurationVersion, configuration, keys, next, vms);
+  }
+
+  private View withVms(Map<String, VmRecord> next) {
+    return new View(version + 1, configurationVersion, configuration, keys, databases, next);
+  }
+
+  private static <T> Map<String, T> put(Map<String, T> base, String name, T value) {
+    Map<String, T> next = new HashMap<>(base);
+    next.put(name, value);
+    return next;
+  }
+
+  private Transition accepted(View next, String message) {
+    return new Transition(next, ResultCode.OK, message);
+  }
+
+  private Transition rejected(ResultCode code, String message) {
+    return new Transition(this, code, message);
+  }
+}
--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/view/VmRecord.java
@@ -0,0 +1,34 @@
+package org.cowslipdale.core.view;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * A VM as registered in the view.
+ *
+ * @param name the unique VM name
+ * @param failureDomain the failure domain in which it runs
+ * @param region the region in which it runs
+ * @param peerAddress host and port on which it accepts connections from other VMs
+ * @param claimsFromMillis the wall-clock time from which it holds request claims, in milliseconds
+ *     since the epoch
+ * @param claimsUntilMillis the wall-clock time until which it holds request claims, or {@link
+ *     Long#MAX_VALUE}
+ * @param active whether the VM is a member; inactive records are kept while their claims matter
+ */
+public record VmRecord(
+    String name,
+    String failureDomain,
+    String region,
+    String peerAddress,
+    long claimsFromMillis,
+    long claimsUntilMillis,
+    boolean active) {
+
+  /** Asserts that every component is set. */
+  public VmRecord {
+    requireNonNull(name, "name");
+    requireNonNull(failureDomain, "failureDomain");
+    requireNonNull(region, "region");
+    requireNonNull(peerAddress, "peerAddress");
+  }
+}
--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/BackendPool.java
@@ -0,0 +1,159 @@
+package org.cowslipdale.daemon.connection;
+
+import java.util.Deque;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.ExecutionException;
+import org.cowslipdale.core.admission.QueuePolicy;
+import org.cowslipdale.core.admission.SlotQueue;
+import org.cowslipdale.core.admission.SlotQueue.Progress;
+import org.cowslipdale.core.admission.Ticket;
+import org.cowslipdale.core.result.RefusalException;
+import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.daemon.version.VmClock;
+
+/**
+ * The connections of this VM to one backend server.
+ *
+ * <p>A request first gets a slot in fair order, then an idle or new connection. A connection comes
+ * back only if its state is known to be clean; otherwise it is closed.
+ */
+public final class BackendPool implements AutoCloseable {
+
+  private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
+
+  private final String address;
+  private final DatabaseConnector connector;
+  private final VmClock clock;
+  private final SlotQueue<CompletableFuture<Boolean>> queue;
+  private final Deque<BackendConnection> idle = new ConcurrentLinkedDeque<>();
+
+  BackendPool(
+      String address,
+      DatabaseConnector connector,
+      VmClock clock,
+      QueuePolicy policy,
+      int slots,
+      int maxQueued) {
+    this.address = address;
+    this.connector = connector;
+    this.clock = clock;
+    this.queue = new SlotQueue<>(policy, slots, maxQueued);
+  }
+
+  String address() {
+    return address;
+  }
+
+  int outstanding() {
+    return queue.outstanding();
+  }
+
+  void resize(int slots) {
+    queue.resize(slots);
+  }
+
+  /** Expires requests that waited too long. */
+  void tick(long now) {
+    complete(queue.advance(now));
+  }
+
+  /**
+   * Waits for a slot and a connection.
+   *
+   * @throws RefusalException if the wait limit forbids it; nothing was sent
+   * @throws BackendException if no connection can be opened; nothing was sent
+   */
+  PooledConnection acquire(String customer, long deadlineMillis)
+      throws RefusalException, BackendException {
+    awaitSlot(customer, deadlineMillis);
+    long acquiredAt = clock.millis();
+    try {
+      return new PooledConnection(connection(), acquiredAt);
+    } catch (BackendException e) {
+      complete(queue.release(0, clock.millis()));
+      throw e;
+    }
+  }
+
+  @Override
+  public void close() {
+    for (BackendConnection connection = idle.poll(); connection != null; connection = idle.poll()) {
+      connection.close();
+    }
+  }
+
+  private void awaitSlot(String customer, long deadlineMillis) throws RefusalException {
+    CompletableFuture<Boolean> granted = new CompletableFuture<>();
+    Ticket<CompletableFuture<Boolean>> ticket = new Ticket<>(customer, deadlineMillis, granted);
+    switch (queue.offer(ticket, clock.millis())) {
+      case REFUSED -> throw new RefusalException(ResultCode.OVERLOADED);
+      case QUEUED -> {
+        if (!resultOf(granted)) {
+          throw new RefusalException(ResultCode.WAIT_LIMIT_REACHED);
+        }
+      }
+      case DISPATCH -> {}
+    }
+  }
+
+  private static boolean resultOf(CompletableFuture<Boolean> granted) throws RefusalException {
+    try {
+      return granted.get();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new RefusalException(ResultCode.SHUTTING_DOWN);
+    } catch (ExecutionException e) {
+      throw new IllegalStateException("slots are only granted or refused", e);
+    }
+  }
+
+  private BackendConnection connection() throws BackendException {
+    for (BackendConnection connection = idle.poll(); connection != null; connection = idle.poll()) {
+      if (connection.isUsable()) {
+        return connection;
+      }
+      connection.close();
+    }
+    return connector.connect(address, CONNECT_TIMEOUT_MILLIS);
+  }
+
+  private static void complete(Progress<CompletableFuture<Boolean>> progress) {
+    progress.dispatched().forEach(ticket -> ticket.payload().complete(true));
+    progress.expired().forEach(ticket -> ticket.payload().complete(false));
+  }
+
+  /** The use of a slot and a connection by one request or transaction. */
+  public final class PooledConnection implements AutoCloseable {
+
+    private final BackendConnection connection;
+    private final long acquiredAtMillis;
+    private boolean clean;
+
+    private PooledConnection(BackendConnection connection, long acquiredAtMillis) {
+      this.connection = connection;
+      this.acquiredAtMillis = acquiredAtMillis;
+    }
+
+    /** Returns the connection. */
+    public BackendConnection connection() {
+      return connection;
+    }
+
+    /** States that the connection has no call outstanding and no transaction open. */
+    public void markClean() {
+      clean = true;
+    }
+
+    @Override
+    public void close() {
+      long now = clock.millis();
+      if (clean && connection.isUsable()) {
+        idle.push(connection);
+      } else {
+        connection.close();
+      }
+      complete(queue.release((double) (now - acquiredAtMillis), now));
+    }
+  }
+}
--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/HttpDatabaseConnector.java
@@ -0,0 +1,187 @@
+package org.cowslipdale.daemon.connection;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpClientConnection;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpConnectOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.io.IOException;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.cowslipdale.config.codec.Codecs;
+import org.cowslipdale.config.protocol.BackendAnswer;
+import org.cowslipdale.config.protocol.BackendCall;
+import org.cowslipdale.config.protocol.PromotionCall;
+import org.cowslipdale.config.protocol.ServerStatus;
+
+/** Speaks HTTP/1.1 with JSON bodies to backend servers, as {@code docs/BACKENDS.md} states it. */
+public final class HttpDatabaseConnector implements DatabaseConnector {
+
+  private static final ObjectMapper JSON = Codecs.json();
+
+  private final HttpClientAgent client;
+
+  /**
+   * Creates a connector.
+   *
+   * @param vertx the Vert.x instance whose event loops do the I/O
+   */
+  public HttpDatabaseConnector(Vertx vertx) {
+    HttpClientOptions options = new HttpClientOptions().setKeepAlive(true).setTcpNoDelay(true);
+    this.client = vertx.createHttpClient(options);
+  }
+
+  @Override
+  public BackendConnection connect(String address, long timeoutMillis) throws BackendException {
+    HttpConnectOptions options =
+        new HttpConnectOptions()
+            .setHost(host(address))
+            .setPort(port(address))
+            .setConnectTimeout(timeoutMillis);
+    try {
+      HttpClientConnection connection = await(client.connect(options), timeoutMillis);
+      return new HttpBackendConnection(connection);
+    } catch (IOException e) {
+      throw new BackendException(false, e);
+    }
+  }
+
+  @Override
+  public ServerStatus status(String address, long timeoutMillis) throws BackendException {
+    return exchange(address, "/status", new PromotionCall(0, null), timeoutMillis);
+  }
+
+  @Override
+  public ServerStatus promote(String address, PromotionCall promotion, long timeoutMillis)
+      throws BackendException {
+    return exchange(address, "/promote", promotion, timeoutMillis);
+  }
+
+  @Override
+  public ServerStatus awaitOffset(String address, long offset, long timeoutMillis)
+      throws BackendException {
+    BackendCall call =
+        new BackendCall("await", 0, false, offset, timeoutMillis, 0, false, null, null);
+    return exchange(address, "/await", call, timeoutMillis + 100);
+  }
+
+  /** Sends one message over a connection of its own, so that no silent old one is in the way. */
+  private ServerStatus exchange(String address, String path, Object message, long timeoutMillis)
+      throws BackendException {
+    RequestOptions options =
+        new RequestOptions()
+            .setMethod(HttpMethod.POST)
+            .setHost(host(address))
+            .setPort(port(address))
+            .setURI(path)
+            .putHeader("Connection", "close")
+            .setConnectTimeout(timeoutMillis)
+            .setIdleTimeout(timeoutMillis);
+    try {
+      Buffer body = Buffer.buffer(JSON.writeValueAsBytes(message));
+      Future<Buffer> answer =
+          client
+              .request(options)
+              .compose(request -> request.send(body))
+              .compose(HttpDatabaseConnector::successBody);
+      return JSON.readValue(await(answer, timeoutMillis).getBytes(), ServerStatus.class);
+    } catch (IOException e) {
+      throw new BackendException(true, e);
+    }
+  }
+
+  private static Future<Buffer> successBody(HttpClientResponse response) {
+    return response
+        .body()
+        .compose(
+            body ->
+                response.statusCode() == 200
+                    ? Future.succeededFuture(body)
+                    : Future.failedFuture(
+                        new IOException("status " + response.statusCode() + ": " + body)));
+  }
+
+  private static <T> T await(Future<T> future, long timeoutMillis) throws IOException {
+    CompletableFuture<T> completion = future.toCompletionStage().toCompletableFuture();
+    try {
+      return completion.get(timeoutMillis, TimeUnit.MILLISECONDS);
+    } catch (ExecutionException e) {
+      throw new IOException(e.getCause());
+    } catch (TimeoutException e) {
+      throw new IOException("no answer within " + timeoutMillis + " ms", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted", e);
+    }
+  }
+
+  private static String host(String address) {
+    return address.substring(0, address.lastIndexOf(':'));
+  }
+
+  private static int port(String address) {
+    return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+  }
+
+  /** One connection that is not shared and not pooled by the HTTP client. */
+  private static final class HttpBackendConnection implements BackendConnection {
+
+    private final HttpClientConnection connection;
+    private final AtomicBoolean usable = new AtomicBoolean(true);
+
+    HttpBackendConnection(HttpClientConnection connection) {
+      this.connection = connection;
+      connection.closeHandler(ignored -> usable.set(false));
+    }
+
+    @Override
+    public BackendAnswer call(Operation operation, BackendCall call, long timeoutMillis)
+        throws BackendException {
+      boolean sent = false;
+      try {
+        Buffer body = Buffer.buffer(JSON.writeValueAsBytes(call));
+        RequestOptions options =
+            new RequestOptions().setMethod(HttpMethod.POST).setURI(operation.path());
+        var request = HttpDatabaseConnector.await(connection.request(options), timeoutMillis);
+        sent = true;
+        Future<Buffer> answer = request.send(body).compose(HttpDatabaseConnector::successBody);
+        BackendAnswer received =
+            JSON.readValue(
+                HttpDatabaseConnector.await(answer, timeoutMillis).getBytes(), BackendAnswer.class);
+        if (!received.call().equals(call.call())) {
+          throw new IOException("the answer belongs to call " + received.call());
+        }
+        return received;
+      } catch (IOException e) {
+        usable.set(false);
+        throw new BackendException(sent, e);
+      }
+    }
+
+    @Override
+    public boolean isUsable() {
+      return usable.get();
+    }
+
+    @Override
+    public void close() {
+      usable.set(false);
+      connection.close();
+    }
+  }
+
+  /** Returns a new identifier for a call. */
+  public static String newCallId() {
+    return UUID.randomUUID().toString();
+  }
+}
--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/AnnouncementRelay.java
@@ -0,0 +1,104 @@
+package org.cowslipdale.daemon.control;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cowslipdale.core.backend.Announcement;
+import org.cowslipdale.core.backend.BackendRegistry;
+import org.cowslipdale.core.view.VmRecord;
+import org.cowslipdale.daemon.peer.PeerMessage.Announcements;
+import org.cowslipdale.daemon.peer.PeerMessage.RelayedAnnouncement;
+import org.cowslipdale.daemon.version.ViewHolder;
+import org.cowslipdale.daemon.version.VmClock;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Passes the announcements that this VM receives from backend servers on to the other VMs.
+ *
+ * <p>An announcement that changes nothing but the position is passed on at most once a second for
+ * each server. All methods run on the control thread.
+ */
+final class AnnouncementRelay {
+
+  private static final long REFRESH_MILLIS = 1_000;
+
+  private final String vm;
+  private final BackendRegistry registry;
+  private final ViewHolder views;
+  private final ControlLink link;
+  private final VmClock clock;
+  private final Map<String, Relayed> relayed = new HashMap<>();
+  private final List<Announcement> pending = new ArrayList<>();
+
+  private record Relayed(Announcement announcement, long atMillis) {}
+
+  AnnouncementRelay(
+      String vm, BackendRegistry registry, ViewHolder views, ControlLink link, VmClock clock) {
+    this.vm = requireNonNull(vm, "vm");
+    this.registry = requireNonNull(registry, "registry");
+    this.views = requireNonNull(views, "views");
+    this.link = requireNonNull(link, "link");
+    this.clock = requireNonNull(clock, "clock");
+  }
+
+  /** Takes in an announcement that a backend server made to this VM. */
+  void announced(Announcement announcement) {
+    long now = clock.millis();
+    boolean news = registry.announce(announcement, 0, now);
+    Relayed last = relayed.get(announcement.server());
+    boolean due =
+        last == null
+            || now - last.atMillis() >= REFRESH_MILLIS
+            || differs(last.announcement(), announcement);
+    if (news && due) {
+      relayed.put(announcement.server(), new Relayed(announcement, now));
+      pending.add(announcement);
+    }
+  }
+
+  /** Takes in announcements that another VM received. */
+  void relayed(Announcements announcements) {
+    long now = clock.millis();
+    for (RelayedAnnouncement item : announcements.items()) {
+      boolean news = registry.announce(item.announcement(), item.ageMillis(), now);
+      if (news) {
+        relayed.put(
+            item.announcement().server(), new Relayed(item.announcement(), now - item.ageMillis()));
+      }
+    }
+  }
+
+  /** Sends what is pending. */
+  void flush() {
+    if (pending.isEmpty()) {
+      return;
+    }
+    long now = clock.millis();
+    List<RelayedAnnouncement> items = new ArrayList<>();
+    for (Announcement announcement : pending) {
+      Relayed last = relayed.get(announcement.server());
+      items.add(new RelayedAnnouncement(announcement, age(last, now)));
+    }
+    pending.clear();
+    for (VmRecord member : views.get().view().activeVms()) {
+      if (!member.name().equals(vm)) {
+        link.send(member.name(), new Announcements(items));
+      }
+    }
+  }
+
+  private static long age(@Nullable Relayed last, long now) {
+    return last == null ? 0 : now - last.atMillis();
+  }
+
+  private static boolean differs(Announcement before, Announcement after) {
+    return before.role() != after.role()
+        || before.leaving() != after.leaving()
+        || before.incarnation() != after.incarnation()
+        || before.position().term() != after.position().term()
+        || !before.address().equals(after.address());
+  }
+}
--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlLink.java
@@ -0,0 +1,73 @@
+package org.cowslipdale.daemon.control;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.cowslipdale.daemon.peer.PeerHandler;
+import org.cowslipdale.daemon.peer.PeerMessage;
+import org.cowslipdale.daemon.peer.PeerNetwork;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sends messages to VMs by name, to this one without the network, and finds the control leader.
+ *
+ * <p>This class is safe for use by several threads.
+ */
+final class ControlLink {
+
+  private final String self;
+  private final PeerNetwork network;
+  private final List<String> voters;
+  private volatile PeerHandler local = (from, message, reply) -> {};
+  private volatile String target;
+
+  ControlLink(String self, PeerNetwork network, Set<String> voters) {
+    this.self = requireNonNull(self, "self");
+    this.network = requireNonNull(network, "network");
+    List<String> sorted = new ArrayList<>(voters);
+    sorted.sort(null);
+    this.voters = List.copyOf(sorted);
+    this.target = voters.contains(self) ? self : this.voters.getFirst();
+  }
+
+  void setLocalHandler(PeerHandler handler) {
+    local = handler;
+  }
+
+  void send(String vm, PeerMessage message) {
+    if (vm.equals(self)) {
+      local.received(self, message, reply -> {});
+    } else {
+      network.send(vm, message);
+    }
+  }
+
+  CompletableFuture<PeerMessage> ask(String vm, PeerMessage message, long timeoutMillis) {
+    if (!vm.equals(self)) {
+      return network.ask(vm, message, timeoutMillis);
+    }
+    CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+    local.received(self, message, answer::complete);
+    return answer;
+  }
+
+  /** Returns the VM that is believed to be the control leader. */
+  String leader() {
+    return target;
+  }
+
+  /** Takes in a hint who leads; without one, the next voter is tried. */
+  void leaderIsNot(String wrong, @Nullable String hint) {
+    if (!target.equals(wrong)) {
+      return;
+    }
+    if (hint != null && voters.contains(hint) && !hint.equals(wrong)) {
+      target = hint;
+    } else {
+      target = voters.get((voters.indexOf(wrong) + 1) % voters.size());
+    }
+  }
+}
--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlPlane.java
@@ -0,0 +1,306 @@
+package org.cowslipdale.daemon.control;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Future;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.cowslipdale.config.codec.Codecs;
+import org.cowslipdale.config.settings.DaemonSettings;
+import org.cowslipdale.core.backend.Announcement;
+import org.cowslipdale.core.backend.BackendRegistry;
+import org.cowslipdale.core.claim.ClaimReply;
+import org.cowslipdale.core.claim.ClaimTable;
+import org.cowslipdale.core.claim.RequestId;
+import org.cowslipdale.core.failover.PrimaryProbe;
+import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.view.ViewCommand;
+import org.cowslipdale.core.view.VmRecord;
+import org.cowslipdale.daemon.connection.DatabaseConnector;
+import org.cowslipdale.daemon.peer.PeerMessage;
+import org.cowslipdale.daemon.peer.PeerMessage.ChangeReply;
+import org.cowslipdale.daemon.peer.PeerMessage.ClaimAnswer;
+import org.cowslipdale.daemon.peer.PeerMessage.ClaimEnd;
+import org.cowslipdale.daemon.peer.PeerMessage.ClaimRequest;
+import org.cowslipdale.daemon.peer.PeerMessage.FleetQuery;
+import org.cowslipdale.daemon.peer.PeerMessage.FleetReply;
+import org.cowslipdale.daemon.peer.PeerMessage.ForwardReply;
+import org.cowslipdale.daemon.peer.PeerMessage.LeaseRequest;
+import org.cowslipdale.daemon.peer.PeerMessage.TokenRequest;
+import org.cowslipdale.daemon.peer.PeerNetwork;
+import org.cowslipdale.daemon.request.RateLimiter;
+import org.cowslipdale.daemon.request.Reply;
+import org.cowslipdale.daemon.request.RequestClaims;
+import org.cowslipdale.daemon.request.TransactionForwarder;
+import org.cowslipdale.daemon.request.TransactionStep;
+import org.cowslipdale.daemon.storage.ControlStore;
+import org.cowslipdale.daemon.telemetry.Tracing;
+import org.cowslipdale.daemon.version.ViewHolder;
+import org.cowslipdale.daemon.version.VmClock;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The control plane of this VM: wires its parts together and dispatches the messages of other VMs.
+ *
+ * <p>Except where stated, the public methods may be called from any thread.
+ */
+public final class ControlPlane implements AutoCloseable {
+
+  private static final Logger LOG = LoggerFactory.getLogger(ControlPlane.class);
+  private static final ObjectMapper JSON = Codecs.json();
+  private static final long TICK_MILLIS = 25;
+  private static final long EXPIRY_MILLIS = 1_000;
+  private static final long CHANGE_TIMEOUT_MILLIS = 3_000;
+  private static final long QUERY_TIMEOUT_MILLIS = 1_000;
+
+  private final DaemonSettings settings;
+  private final PeerNetwork network;
+  private final BackendRegistry registry;
+  private final VmClock clock;
+  private final ControlThread control = new ControlThread();
+  private final ControlLink link;
+  private final ViewClient viewClient;
+  private final Prober prober;
+  private final AnnouncementRelay relay;
+  private final ClaimTable claims;
+  private final FleetRateLimiter limiter;
+  private final FleetClaims fleetClaims;
+  private final TransactionForwarder forwarder;
+  private final @Nullable Voter voter;
+  private volatile Function<TransactionStep, Reply> steps =
+      step -> new Reply(ResultCode.SHUTTING_DOWN.httpStatus(), "{}", null);
+
+  /**
+   * Creates the control plane.
+   *
+   * @param settings the settings of the daemon
+   * @param store the durable state, if this VM is a voter
+   * @param network the connections to other VMs
+   * @param views where the view is published
+   * @param registry the backend servers that announced themselves
+   * @param connector reaches backend servers
+   * @param tracing creates spans
+   * @param clock the clocks of the VM
+   * @param onStorageFailure runs when the durable state can no longer be written
+   */
+  public ControlPlane(
+      DaemonSettings settings,
+      @Nullable ControlStore store,
+      PeerNetwork network,
+      ViewHolder views,
+      BackendRegistry registry,
+      DatabaseConnector connector,
+      Tracing tracing,
+      VmClock clock,
+      Runnable onStorageFailure) {
+    this.settings = requireNonNull(settings, "settings");
+    this.network = requireNonNull(network, "network");
+    this.registry = requireNonNull(registry, "registry");
+    this.clock = requireNonNull(clock, "clock");
+    String vm = settings.vm().name();
+    this.link = new ControlLink(vm, network, settings.voters().keySet());
+    PrimaryProbe probe = new PrimaryProbe();
+    VmRecord self =
+        new VmRecord(
+            vm,
+            settings.vm().failureDomain(),
+            settings.vm().region(),
+            settings.listen().peers(),
+            0,
+            Long.MAX_VALUE,
+            true);
+    this.viewClient = new ViewClient(self, link, views, probe, control, clock);
+    this.prober = new Prober(vm, views, registry, connector, probe, control, viewClient::renew);
+    this.relay = new AnnouncementRelay(vm, registry, views, link, clock);
+    this.claims = new ClaimTable(clock.wallMillis());
+    this.limiter = new FleetRateLimiter(link, views, clock);
+    this.fleetClaims = new FleetClaims(link, views, clock);
+    this.forwarder = new PeerForwarder(link, tracing);
+    this.voter =
+        store == null
+            ? null
+            : new Voter(
+                vm,
+                settings.voters().keySet(),
+                store,
+                registry,
+                new FailoverExecutor(connector, control),
+                clock,
+                link::send,
+                onStorageFailure);
+    link.setLocalHandler(this::received);
+  }
+
+  /**
+   * Binds the address for other VMs and starts all periodic work.
+   *
+   * @param stepHandler runs steps of transactions that other VMs forward; may block
+   */
+  public Future<Void> start(Function<TransactionStep, Reply> stepHandler) {
+    steps = stepHandler;
+    return network
+        .listen(settings.listen().peers(), this::received)
+        .onSuccess(ignored -> startTicks());
+  }
+
+  /** Returns the limiter of customers' rates. */
+  public RateLimiter limiter() {
+    return limiter;
+  }
+
+  /** Returns the claims on request ids. */
+  public RequestClaims claims() {
+    return fleetClaims;
+  }
+
+  /** Returns the forwarder of transactions' steps. */
+  public TransactionForwarder forwarder() {
+    return forwarder;
+  }
+
+  /**
+   * Takes in an announcement of a backend server.
+   *
+   * @param announcement the announcement
+   */
+  public void announced(Announcement announcement) {
+    control.execute(() -> relay.announced(announcement));
+  }
+
+  /**
+   * Proposes a change to the control leader.
+   *
+   * @param command the change
+   * @return completes with the result or with the reason why there is none
+   */
+  public CompletableFuture<ChangeReply> propose(ViewCommand command) {
+    String leader = link.leader();
+    return link.ask(leader, new PeerMessage.ChangeRequest(command), CHANGE_TIMEOUT_MILLIS)
+        .thenApply(
+            reply ->
+                reply instanceof ChangeReply change
+                    ? change
+                    : new ChangeReply(null, ResultCode.CHANGE_OUTCOME_UNKNOWN))
+        .exceptionally(e -> new ChangeReply(null, ResultCode.CHANGE_OUTCOME_UNKNOWN));
+  }
+
+  /**
+   * Asks the control leader for the state of the fleet.
+   *
+   * @param query the query
+   * @return completes with the state, or with empty if no leader answers
+   */
+  public CompletableFuture<Optional<FleetReply>> fleet(FleetQuery query) {
+    return link.ask(link.leader(), query, QUERY_TIMEOUT_MILLIS)
+        .thenApply(ControlPlane::fleetReply)
+        .exceptionally(e -> Optional.empty());
+  }
+
+  /** Gives the lease and the leadership back, because this VM stops. */
+  public void release() {
+    control.runAndWait(
+        () -> {
+          viewClient.release();
+          if (voter != null) {
+            voter.handOver();
+          }
+        });
+  }
+
+  @Override
+  public void close() {
+    control.close();
+    network.close();
+  }
+
+  private static Optional<FleetReply> fleetReply(PeerMessage reply) {
+    return reply instanceof FleetReply fleet && fleet.leader() != null
+        ? Optional.of(fleet)
+        : Optional.empty();
+  }
+
+  private void startTicks() {
+    control.every(TICK_MILLIS, this::tick);
+    control.every(PrimaryProbe.INTERVAL_MILLIS, prober::round);
+    control.every(
+        EXPIRY_MILLIS,
+        () -> {
+          registry.expire(clock.millis());
+          claims.expire(clock.wallMillis());
+        });
+  }
+
+  private void tick() {
+    if (voter != null) {
+      voter.tick();
+    }
+    viewClient.tick();
+    relay.flush();
+    limiter.tick();
+  }
+
+  private void received(String from, PeerMessage message, Consumer<PeerMessage> reply) {
+    if (message instanceof PeerMessage.ForwardRequest forward) {
+      Thread.startVirtualThread(() -> reply.accept(runStep(forward.step())));
+      return;
+    }
+    control.execute(() -> dispatch(from, message, reply));
+  }
+
+  private void dispatch(String from, PeerMessage message, Consumer<PeerMessage> reply) {
+    switch (message) {
+      case PeerMessage.ViewNews news -> viewClient.news(news.version());
+      case PeerMessage.Announcements announcements -> relay.relayed(announcements);
+      case ClaimRequest request -> reply.accept(claim(request));
+      case ClaimEnd end -> endClaim(end);
+      default -> dispatchToVoter(from, message, reply);
+    }
+  }
+
+  private void dispatchToVoter(String from, PeerMessage message, Consumer<PeerMessage> reply) {
+    if (voter == null) {
+      LOG.debug("ignoring {} from {}: this VM is no voter", message, from);
+      return;
+    }
+    switch (message) {
+      case PeerMessage.Consensus consensus -> voter.receive(consensus.message());
+      case LeaseRequest request -> reply.accept(voter.lease(from, request));
+      case PeerMessage.Registration registration -> voter.register(registration.vm());
+      case TokenRequest request -> reply.accept(voter.issueTokens(from, request));
+      case FleetQuery query -> reply.accept(voter.fleet(query));
+      case PeerMessage.ChangeRequest change -> voter.propose(change.command()).thenAccept(reply);
+      default -> LOG.debug("ignoring {} from {}", message, from);
+    }
+  }
+
+  private PeerMessage claim(ClaimRequest request) {
+    ClaimReply answer =
+        RequestId.parse(request.requestId())
+            .map(id -> claims.claim(request.customer(), id, request.attempt(), clock.wallMillis()))
+            .orElse(new ClaimReply.CannotTell());
+    return new ClaimAnswer(answer);
+  }
+
+  private void endClaim(ClaimEnd end) {
+    if (end.answer() == null) {
+      claims.release(end.customer(), end.requestId(), end.attempt());
+    } else {
+      claims.complete(end.customer(), end.requestId(), end.attempt(), end.answer());
+    }
+  }
+
+  private PeerMessage runStep(String json) {
+    try {
+      Reply reply = steps.apply(JSON.readValue(json, TransactionStep.class));
+      return new ForwardReply(reply.status(), reply.body(), reply.sessionToken());
+    } catch (JsonProcessingException e) {
+      return new ForwardReply(ResultCode.BAD_REQUEST.httpStatus(), "{}", null);
+    }
+  }
+}
--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetRateLimiter.java
@@ -0,0 +1,120 @@
+package org.cowslipdale.daemon.control;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.ExecutionException;
+import org.cowslipdale.core.admission.Admission;
+import org.cowslipdale.core.admission.SlotQueue.Progress;
+import org.cowslipdale.core.admission.Ticket;
+import org.cowslipdale.core.quota.TokenOwner;
+import org.cowslipdale.core.quota.TokenStock;
+import org.cowslipdale.core.result.RefusalException;
+import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.view.Configuration;
+import org.cowslipdale.core.view.Customer;
+import org.cowslipdale.core.view.OpenRoute;
+import org.cowslipdale.daemon.peer.PeerMessage.TokenReply;
+import org.cowslipdale.daemon.peer.PeerMessage.TokenRequest;
+import org.cowslipdale.daemon.request.RateLimiter;
+import org.cowslipdale.daemon.version.ViewHolder;
+import org.cowslipdale.daemon.version.VmClock;
+
+/** Limits customers with tokens that the control leader issues for the whole fleet. */
+final class FleetRateLimiter implements RateLimiter {
+
+  private static final long ANSWER_TIMEOUT_MILLIS = 300;
+
+  private final ControlLink link;
+  private final ViewHolder views;
+  private final VmClock clock;
+  private final ConcurrentMap<String, TokenStock<CompletableFuture<Boolean>>> stocks =
+      new ConcurrentHashMap<>();
+
+  FleetRateLimiter(ControlLink link, ViewHolder views, VmClock clock) {
+    this.link = requireNonNull(link, "link");
+    this.views = requireNonNull(views, "views");
+    this.clock = requireNonNull(clock, "clock");
+  }
+
+  @Override
+  public void acquire(String customer, long deadlineMillis) throws RefusalException {
+    TokenOwner.Limit limit = limitOf(customer);
+    TokenStock<CompletableFuture<Boolean>> stock =
+        stocks.computeIfAbsent(customer, name -> new TokenStock<>());
+    CompletableFuture<Boolean> granted = new CompletableFuture<>();
+    Ticket<CompletableFuture<Boolean>> ticket = new Ticket<>(customer, deadlineMillis, granted);
+    Admission admission = stock.offer(ticket, limit.ratePerSecond(), limit.burst(), clock.millis());
+    askIfDue(customer, stock);
+    if (admission == Admission.REFUSED || (admission == Admission.QUEUED && !resultOf(granted))) {
+      throw new RefusalException(ResultCode.RATE_EXCEEDED);
+    }
+  }
+
+  /** Expires requests that waited too long and asks again where it is due. */
+  void tick() {
+    stocks.forEach(
+        (customer, stock) -> {
+          complete(stock.advance(clock.millis()));
+          askIfDue(customer, stock);
+        });
+  }
+
+  private TokenOwner.Limit limitOf(String customer) throws RefusalException {
+    Configuration configuration = views.get().view().configuration();
+    if (customer.startsWith("open:")) {
+      OpenRoute route = configuration.openRoutes().get(customer.substring("open:".length()));
+      if (route != null) {
+        return new TokenOwner.Limit(route.ratePerSecond(), route.burst());
+      }
+    }
+    Customer known = configuration.customers().get(customer);
+    if (known == null) {
+      throw new RefusalException(ResultCode.UNAUTHENTICATED);
+    }
+    return new TokenOwner.Limit(known.ratePerSecond(), known.burst());
+  }
+
+  private void askIfDue(String customer, TokenStock<CompletableFuture<Boolean>> stock) {
+    stock
+        .poll(clock.millis())
+        .ifPresent(
+            ask -> {
+              TokenRequest request = new TokenRequest(customer, ask.unused(), ask.wanted());
+              link.ask(link.leader(), request, ANSWER_TIMEOUT_MILLIS)
+                  .thenAccept(
+                      reply -> {
+                        if (reply instanceof TokenReply tokens) {
+                          answered(customer, stock, ask, tokens);
+                        }
+                      });
+            });
+  }
+
+  private void answered(
+      String customer,
+      TokenStock<CompletableFuture<Boolean>> stock,
+      TokenStock.Ask ask,
+      TokenReply reply) {
+    complete(stock.granted(reply.tokens(), reply.retryMillis(), ask.sentMillis(), clock.millis()));
+    askIfDue(customer, stock);
+  }
+
+  private static void complete(Progress<CompletableFuture<Boolean>> progress) {
+    progress.dispatched().forEach(ticket -> ticket.payload().complete(true));
+    progress.expired().forEach(ticket -> ticket.payload().complete(false));
+  }
+
+  private static boolean resultOf(CompletableFuture<Boolean> granted) throws RefusalException {
+    try {
+      return granted.get();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new RefusalException(ResultCode.SHUTTING_DOWN);
+    } catch (ExecutionException e) {
+      throw new IllegalStateException("tokens are only granted or refused", e);
+    }
+  }
+}
--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Leadership.java
@@ -0,0 +1,60 @@
+package org.cowslipdale.daemon.control;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.cowslipdale.core.control.LeaseTable;
+import org.cowslipdale.core.failover.FailoverCoordinator;
+import org.cowslipdale.core.quota.TokenOwner;
+import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.daemon.peer.PeerMessage.ChangeReply;
+
+/** What lives as long as this VM leads the control log; confined to the control thread. */
+final class Leadership {
+
+  private final long term;
+  private final LeaseTable leases;
+  private final FailoverCoordinator failover = new FailoverCoordinator();
+  private final TokenOwner tokens;
+  private final Map<Long, CompletableFuture<ChangeReply>> proposals = new HashMap<>();
+
+  Leadership(long term, long electedMillis) {
+    this.term = term;
+    this.leases = new LeaseTable(electedMillis);
+    this.tokens = new TokenOwner(electedMillis);
+  }
+
+  long term() {
+    return term;
+  }
+
+  LeaseTable leases() {
+    return leases;
+  }
+
+  FailoverCoordinator failover() {
+    return failover;
+  }
+
+  TokenOwner tokens() {
+    return tokens;
+  }
+
+  void awaitEntry(long index, CompletableFuture<ChangeReply> reply) {
+    proposals.put(index, reply);
+  }
+
+  void decided(long index, ChangeReply reply) {
+    CompletableFuture<ChangeReply> waiting = proposals.remove(index);
+    if (waiting != null) {
+      waiting.complete(reply);
+    }
+  }
+
+  /** Answers the proposals whose outcome this VM will not learn. */
+  void end() {
+    ChangeReply unknown = new ChangeReply(null, ResultCode.CHANGE_OUTCOME_UNKNOWN);
+    proposals.values().forEach(waiting -> waiting.complete(unknown));
+    proposals.clear();
+  }
+}
--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/PeerForwarder.java
@@ -0,0 +1,67 @@
+package org.cowslipdale.daemon.control;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.concurrent.ExecutionException;
+import org.cowslipdale.config.codec.Codecs;
+import org.cowslipdale.core.result.RefusalException;
+import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.daemon.peer.PeerMessage;
+import org.cowslipdale.daemon.peer.PeerMessage.ForwardReply;
+import org.cowslipdale.daemon.peer.PeerMessage.ForwardRequest;
+import org.cowslipdale.daemon.request.Reply;
+import org.cowslipdale.daemon.request.TransactionForwarder;
+import org.cowslipdale.daemon.request.TransactionStep;
+import org.cowslipdale.daemon.telemetry.Tracing;
+
+/** Forwards the steps of transactions over the connections between VMs. */
+final class PeerForwarder implements TransactionForwarder {
+
+  private static final ObjectMapper JSON = Codecs.json();
+  private static final long TIMEOUT_MILLIS = 10_000;
+
+  private final ControlLink link;
+  private final Tracing tracing;
+
+  PeerForwarder(ControlLink link, Tracing tracing) {
+    this.link = requireNonNull(link, "link");
+    this.tracing = requireNonNull(tracing, "tracing");
+  }
+
+  @Override
+  public Reply forward(String vm, TransactionStep step) throws RefusalException {
+    try (Tracing.Hop hop = tracing.start("forward", step.traceparent())) {
+      hop.set("vm", vm);
+      TransactionStep traced =
+          new TransactionStep(
+              step.transaction(),
+              step.kind(),
+              step.customer(),
+              step.session(),
+              step.body(),
+              hop.traceparent());
+      PeerMessage reply =
+          link.ask(vm, new ForwardRequest(JSON.writeValueAsString(traced)), TIMEOUT_MILLIS).get();
+      if (reply instanceof ForwardReply forwarded) {
+        return new Reply(forwarded.status(), forwarded.body(), forwarded.sessionToken());
+      }
+      throw lost(step);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("transaction steps can be written as JSON", e);
+    } catch (ExecutionException e) {
+      throw lost(step);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw lost(step);
+    }
+  }
+
+  /** A lost step other than a commit has no effect unless a later commit succeeds. */
+  private static RefusalException lost(TransactionStep step) {
+    return step.kind() == TransactionStep.Kind.COMMIT
+        ? new RefusalException(ResultCode.VM_UNREACHABLE)
+        : new RefusalException(ResultCode.TRANSACTION_ABORTED);
+  }
+}
--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ViewClient.java
@@ -0,0 +1,163 @@
+package org.cowslipdale.daemon.control;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import org.cowslipdale.core.control.LeaseTimings;
+import org.cowslipdale.core.failover.PrimaryProbe;
+import org.cowslipdale.core.view.View;
+import org.cowslipdale.core.view.ViewCommand;
+import org.cowslipdale.core.view.VmRecord;
+import org.cowslipdale.daemon.peer.PeerMessage;
+import org.cowslipdale.daemon.peer.PeerMessage.LeaseReply;
+import org.cowslipdale.daemon.peer.PeerMessage.LeaseRequest;
+import org.cowslipdale.daemon.version.ViewHolder;
+import org.cowslipdale.daemon.version.VmClock;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keeps this VM's view up to date and its lease valid, and registers the VM.
+ *
+ * <p>All methods run on the control thread.
+ */
+final class ViewClient {
+
+  private static final long ANSWER_TIMEOUT_MILLIS = 400;
+  private static final long RETRY_MILLIS = 100;
+
+  private final VmRecord self;
+  private final ControlLink link;
+  private final ViewHolder holder;
+  private final PrimaryProbe probe;
+  private final ControlThread control;
+  private final VmClock clock;
+  private boolean asking;
+  private boolean askAgain;
+  private boolean stopping;
+  private long nextMillis;
+
+  ViewClient(
+      VmRecord self,
+      ControlLink link,
+      ViewHolder holder,
+      PrimaryProbe probe,
+      ControlThread control,
+      VmClock clock) {
+    this.self = requireNonNull(self, "self");
+    this.link = requireNonNull(link, "link");
+    this.holder = requireNonNull(holder, "holder");
+    this.probe = requireNonNull(probe, "probe");
+    this.control = requireNonNull(control, "control");
+    this.clock = requireNonNull(clock, "clock");
+  }
+
+  void tick() {
+    if (!asking && !stopping && clock.millis() >= nextMillis) {
+      ask();
+    }
+  }
+
+  /** Renews at once, because something changed. */
+  void renew() {
+    if (asking) {
+      askAgain = true;
+    } else if (!stopping) {
+      ask();
+    }
+  }
+
+  /** Takes in that a newer version exists. */
+  void news(long version) {
+    if (version > holder.get().view().version()) {
+      renew();
+    }
+  }
+
+  /** Gives the lease back, because this VM stops. */
+  void release() {
+    stopping = true;
+    LeaseRequest request =
+        new LeaseRequest(holder.get().view().version(), List.of(), clock.millis(), true);
+    link.send(link.leader(), request);
+  }
+
+  private void ask() {
+    asking = true;
+    askAgain = false;
+    long now = clock.millis();
+    nextMillis = now + LeaseTimings.RENEWAL_MILLIS;
+    String leader = link.leader();
+    LeaseRequest request =
+        new LeaseRequest(holder.get().view().version(), probe.reports(), now, false);
+    link.ask(leader, request, ANSWER_TIMEOUT_MILLIS)
+        .whenComplete(
+            (reply, failure) ->
+                control.execute(
+                    () -> {
+                      asking = false;
+                      if (reply instanceof LeaseReply lease) {
+                        received(leader, lease);
+                      } else {
+                        wrongLeader(leader, null);
+                      }
+                      if (askAgain && !stopping) {
+                        ask();
+                      }
+                    }));
+  }
+
+  private void wrongLeader(String leader, @Nullable String hint) {
+    link.leaderIsNot(leader, hint);
+    nextMillis = clock.millis() + RETRY_MILLIS;
+  }
+
+  private void received(String leader, LeaseReply reply) {
+    if (!reply.granted() && reply.registered()) {
+      wrongLeader(leader, reply.leader());
+      return;
+    }
+    View view = updated(reply);
+    boolean complete = view.version() >= targetVersion(reply);
+    long leaseEnd =
+        reply.granted() && complete && !stopping
+            ? reply.sentMillis() + LeaseTimings.LEASE_MILLIS
+            : Long.MIN_VALUE;
+    boolean changed = view.version() > holder.get().view().version();
+    holder.publish(view, leaseEnd);
+    if (!reply.registered() || !isRegisteredAsIs(view)) {
+      link.send(leader, new PeerMessage.Registration(self));
+      nextMillis = clock.millis() + RETRY_MILLIS;
+    }
+    askAgain |= changed;
+  }
+
+  private View updated(LeaseReply reply) {
+    View current = holder.get().view();
+    if (reply.view() != null) {
+      return reply.view().version() > current.version() ? reply.view() : current;
+    }
+    if (reply.fromVersion() != current.version()) {
+      return current;
+    }
+    View next = current;
+    for (ViewCommand command : reply.commands()) {
+      next = next.apply(command).view();
+    }
+    return next;
+  }
+
+  private static long targetVersion(LeaseReply reply) {
+    return reply.view() != null
+        ? reply.view().version()
+        : reply.fromVersion() + reply.commands().size();
+  }
+
+  private boolean isRegisteredAsIs(View view) {
+    VmRecord known = view.vms().get(self.name());
+    return known != null
+        && known.active()
+        && known.failureDomain().equals(self.failureDomain())
+        && known.region().equals(self.region())
+        && known.peerAddress().equals(self.peerAddress());
+  }
+}
--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -0,0 +1,394 @@
+package org.cowslipdale.daemon.control;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.cowslipdale.core.backend.BackendRegistry;
+import org.cowslipdale.core.consensus.ConsensusMessage;
+import org.cowslipdale.core.consensus.ConsensusNode;
+import org.cowslipdale.core.consensus.LogEntry;
+import org.cowslipdale.core.consensus.Output;
+import org.cowslipdale.core.consensus.Snapshot;
+import org.cowslipdale.core.control.ControlState;
+import org.cowslipdale.core.failover.FailoverAction;
+import org.cowslipdale.core.quota.TokenOwner;
+import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.view.Configuration;
+import org.cowslipdale.core.view.Customer;
+import org.cowslipdale.core.view.OpenRoute;
+import org.cowslipdale.core.view.View;
+import org.cowslipdale.core.view.ViewCommand;
+import org.cowslipdale.core.view.VmRecord;
+import org.cowslipdale.daemon.peer.PeerMessage;
+import org.cowslipdale.daemon.peer.PeerMessage.ChangeReply;
+import org.cowslipdale.daemon.peer.PeerMessage.FleetQuery;
+import org.cowslipdale.daemon.peer.PeerMessage.FleetReply;
+import org.cowslipdale.daemon.peer.PeerMessage.LeaseReply;
+import org.cowslipdale.daemon.peer.PeerMessage.LeaseRequest;
+import org.cowslipdale.daemon.peer.PeerMessage.TokenReply;
+import org.cowslipdale.daemon.peer.PeerMessage.TokenRequest;
+import org.cowslipdale.daemon.storage.ControlStore;
+import org.cowslipdale.daemon.storage.StorageException;
+import org.cowslipdale.daemon.version.VmClock;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A VM's part in the control log and, while it leads, the services of the leader.
+ *
+ * <p>All methods run on the control thread.
+ */
+final class Voter {
+
+  private static final Logger LOG = LoggerFactory.getLogger(Voter.class);
+  private static final int ENTRIES_PER_SNAPSHOT = 500;
+
+  private final String vm;
+  private final ConsensusNode node;
+  private final ControlStore store;
+  private final BackendRegistry registry;
+  private final FailoverExecutor executor;
+  private final VmClock clock;
+  private final PeerSender sender;
+  private final Runnable onStorageFailure;
+  private final ViewLog viewLog = new ViewLog();
+  private ControlState state;
+  private long appliedIndex;
+  private @Nullable Leadership leadership;
+  private boolean failed;
+
+  /** Sends messages to other VMs. */
+  interface PeerSender {
+
+    void send(String to, PeerMessage message);
+  }
+
+  Voter(
+      String vm,
+      Set<String> voters,
+      ControlStore store,
+      BackendRegistry registry,
+      FailoverExecutor executor,
+      VmClock clock,
+      PeerSender sender,
+      Runnable onStorageFailure) {
+    this.vm = requireNonNull(vm, "vm");
+    this.store = requireNonNull(store, "store");
+    this.registry = requireNonNull(registry, "registry");
+    this.executor = requireNonNull(executor, "executor");
+    this.clock = requireNonNull(clock, "clock");
+    this.sender = requireNonNull(sender, "sender");
+    this.onStorageFailure = requireNonNull(onStorageFailure, "onStorageFailure");
+    this.node =
+        new ConsensusNode(
+            vm,
+            voters,
+            store.hardState(),
+            store.snapshot(),
+            store.entries(),
+            new Random(),
+            clock.millis());
+    this.state = store.snapshot().state();
+    this.appliedIndex = store.snapshot().index();
+    viewLog.reset(state.view().version());
+  }
+
+  void tick() {
+    if (failed) {
+      return;
+    }
+    long now = clock.millis();
+    carryOut(node.tick(now));
+    followRole();
+    if (leadership != null && node.holdsLeaderLease(now)) {
+      tickFailover(leadership, now);
+    }
+  }
+
+  void receive(ConsensusMessage message) {
+    if (!failed) {
+      carryOut(node.receive(message, clock.millis()));
+      followRole();
+    }
+  }
+
+  /** Gives leadership to another voter before this VM stops. */
+  void handOver() {
+    carryOut(node.transferLeadership(clock.millis()));
+    followRole();
+  }
+
+  /** Appends a command if this VM leads; the reply tells what became of it. */
+  CompletableFuture<ChangeReply> propose(ViewCommand command) {
+    CompletableFuture<ChangeReply> reply = new CompletableFuture<>();
+    Leadership current = leadership;
+    if (failed || current == null) {
+      reply.complete(new ChangeReply(null, ResultCode.NO_LEADER));
+      return reply;
+    }
+    Output output = node.propose(new LogEntry.Command(command), clock.millis());
+    current.awaitEntry(node.lastIndex(), reply);
+    carryOut(output);
+    return reply;
+  }
+
+  /** Answers a VM's request for a lease. */
+  LeaseReply lease(String from, LeaseRequest request) {
+    long now = clock.millis();
+    Leadership current = leadership;
+    if (failed || current == null || !node.holdsLeaderLease(now)) {
+      return refusal(request);
+    }
+    View view = state.view();
+    VmRecord record = view.vms().get(from);
+    boolean registered = record != null && record.active();
+    if (request.release()) {
+      current.leases().release(from, now);
+      return refusal(request);
+    }
+    current.failover().report(from, request.reports());
+    if (registered) {
+      current.leases().grant(from, request.version(), now);
+    }
+    Optional<List<ViewCommand>> commands = viewLog.after(request.version());
+    return new LeaseReply(
+        registered,
+        vm,
+        registered,
+        request.version(),
+        commands.orElse(List.of()),
+        commands.isPresent() ? null : view,
+        request.sentMillis());
+  }
+
+  /** Registers a VM unless it is registered as it wants. */
+  void register(VmRecord wanted) {
+    VmRecord known = state.view().vms().get(wanted.name());
+    boolean same =
+        known != null
+            && known.active()
+            && known.failureDomain().equals(wanted.failureDomain())
+            && known.region().equals(wanted.region())
+            && known.peerAddress().equals(wanted.peerAddress());
+    if (!same) {
+      propose(new ViewCommand.RegisterVm(wanted, clock.wallMillis()));
+    }
+  }
+
+  /** Issues tokens of a customer, or none if this VM does not lead. */
+  TokenReply issueTokens(String from, TokenRequest request) {
+    long now = clock.millis();
+    Leadership current = leadership;
+    Optional<TokenOwner.Limit> limit = limitOf(request.customer());
+    if (failed || current == null || limit.isEmpty() || !node.holdsLeaderLease(now)) {
+      return new TokenReply(0, 50);
+    }
+    TokenOwner.Grant grant =
+        current
+            .tokens()
+            .issue(
+                request.customer(),
+                limit.get(),
+                from,
+                request.unused(),
+                request.wanted(),
+                state.view().activeVms().size(),
+                now);
+    return new TokenReply(grant.tokens(), grant.retryMillis());
+  }
+
+  /** Answers a query for the state of the fleet. */
+  FleetReply fleet(FleetQuery query) {
+    long now = clock.millis();
+    Leadership current = leadership;
+    if (failed || current == null || !node.holdsLeaderLease(now)) {
+      return new FleetReply(null, node.term(), 0, List.of(), List.of(), List.of());
+    }
+    View view = state.view();
+    return new FleetReply(
+        vm,
+        node.term(),
+        view.version(),
+        current.leases().waitingFor(query.version(), view, query.graceMillis(), now),
+        List.copyOf(leaseHolders(current, view, now)),
+        query.withHistory() ? state.history() : List.of());
+  }
+
+  Optional<String> leader() {
+    return node.leader();
+  }
+
+  ConsensusNode.Role role() {
+    return node.role();
+  }
+
+  private LeaseReply refusal(LeaseRequest request) {
+    return new LeaseReply(
+        false,
+        node.leader().orElse(null),
+        true,
+        request.version(),
+        List.of(),
+        null,
+        request.sentMillis());
+  }
+
+  private Optional<TokenOwner.Limit> limitOf(String customer) {
+    Configuration configuration = state.view().configuration();
+    if (customer.startsWith("open:")) {
+      OpenRoute route = configuration.openRoutes().get(customer.substring("open:".length()));
+      return Optional.ofNullable(route)
+          .map(open -> new TokenOwner.Limit(open.ratePerSecond(), open.burst()));
+    }
+    Customer known = configuration.customers().get(customer);
+    return Optional.ofNullable(known)
+        .map(limits -> new TokenOwner.Limit(limits.ratePerSecond(), limits.burst()));
+  }
+
+  /** Stores, sends and applies, in this order. */
+  private void carryOut(Output output) {
+    if (output.needsStorage()) {
+      try {
+        store.store(output);
+      } catch (StorageException e) {
+        LOG.error("the control log cannot be stored; this VM stops to vote", e);
+        failed = true;
+        onStorageFailure.run();
+        return;
+      }
+    }
+    Snapshot snapshot = output.snapshot();
+    if (snapshot != null) {
+      state = snapshot.state();
+      appliedIndex = snapshot.index();
+      viewLog.reset(state.view().version());
+    }
+    for (Output.Send send : output.sends()) {
+      sender.send(send.to(), new PeerMessage.Consensus(send.message()));
+    }
+    output.committed().forEach(this::apply);
+    compactIfDue();
+  }
+
+  private void apply(LogEntry entry) {
+    appliedIndex = entry.index();
+    if (entry.payload() instanceof LogEntry.Command logged) {
+      ControlState.Applied applied = state.apply(logged.command());
+      state = applied.state();
+      if (applied.accepted()) {
+        accepted(logged.command());
+      }
+      Leadership current = leadership;
+      if (current != null && entry.term() == current.term()) {
+        current.decided(entry.index(), new ChangeReply(applied.result(), null));
+      }
+    }
+  }
+
+  private void accepted(ViewCommand command) {
+    viewLog.add(command);
+    Leadership current = leadership;
+    if (current == null) {
+      return;
+    }
+    long version = state.view().version();
+    if (command instanceof ViewCommand.BeginTerm begin) {
+      current.failover().termChanged(begin.database(), version);
+      LOG.info("term {} of database {} began", begin.term(), begin.database());
+    }
+    if (command instanceof ViewCommand.CompleteTerm complete) {
+      LOG.info(
+          "server {} is primary of database {} in term {}",
+          complete.primary(),
+          complete.database(),
+          complete.term());
+    }
+    for (VmRecord member : state.view().activeVms()) {
+      sender.send(member.name(), new PeerMessage.ViewNews(version));
+    }
+  }
+
+  private void compactIfDue() {
+    if (appliedIndex - store.snapshot().index() < ENTRIES_PER_SNAPSHOT) {
+      return;
+    }
+    try {
+      Snapshot snapshot = node.compact(state, appliedIndex);
+      store.compact(snapshot, node.entriesAfterSnapshot());
+    } catch (StorageException e) {
+      LOG.error("the snapshot cannot be stored; this VM stops to vote", e);
+      failed = true;
+      onStorageFailure.run();
+    }
+  }
+
+  private void followRole() {
+    boolean leads = node.role() == ConsensusNode.Role.LEADER;
+    Leadership current = leadership;
+    if (current != null && (!leads || current.term() != node.term())) {
+      LOG.info("this VM no longer leads the control log");
+      current.end();
+      leadership = null;
+    }
+    if (leads && leadership == null) {
+      LOG.info("this VM leads the control log in term {}", node.term());
+      leadership = new Leadership(node.term(), clock.millis());
+    }
+  }
+
+  private void tickFailover(Leadership current, long now) {
+    View view = state.view();
+    List<FailoverAction> actions =
+        current
+            .failover()
+            .tick(
+                view,
+                registry,
+                leaseHolders(current, view, now),
+                version -> current.leases().waitingFor(version, view, 0, now).isEmpty(),
+                now);
+    actions.forEach(action -> carryOut(current, action));
+  }
+
+  private void carryOut(Leadership current, FailoverAction action) {
+    switch (action) {
+      case FailoverAction.Propose propose -> propose(propose.command());
+      case FailoverAction.QueryPosition query ->
+          executor.query(
+              query,
+              (asked, position) ->
+                  current
+                      .failover()
+                      .position(asked.database(), asked.term(), asked.server(), position));
+      case FailoverAction.Order order ->
+          executor.order(
+              order,
+              status ->
+                  current
+                      .failover()
+                      .promoted(
+                          order.database(),
+                          order.term(),
+                          order.server(),
+                          status.offset(),
+                          clock.millis())
+                      .ifPresent(next -> carryOut(current, next)));
+    }
+  }
+
+  private static Set<String> leaseHolders(Leadership current, View view, long now) {
+    Set<String> holders = new HashSet<>();
+    for (VmRecord member : view.activeVms()) {
+      if (current.leases().mayHoldLease(member.name(), now)) {
+        holders.add(member.name());
+      }
+    }
+    return holders;
+  }
+}
--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerMessage.java
@@ -0,0 +1,198 @@
+package org.cowslipdale.daemon.peer;
+
+import java.util.List;
+import org.cowslipdale.core.backend.Announcement;
+import org.cowslipdale.core.claim.ClaimReply;
+import org.cowslipdale.core.consensus.ConsensusMessage;
+import org.cowslipdale.core.control.ChangeRecord;
+import org.cowslipdale.core.failover.ProbeReport;
+import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.view.View;
+import org.cowslipdale.core.view.ViewCommand;
+import org.cowslipdale.core.view.VmRecord;
+import org.jspecify.annotations.Nullable;
+
+/** A message between two VMs. */
+public sealed interface PeerMessage {
+
+  /**
+   * Opens a connection.
+   *
+   * @param vm the name of the sender
+   * @param proof proves that the sender knows the cluster secret
+   */
+  record Hello(String vm, String proof) implements PeerMessage {}
+
+  /**
+   * Carries a message of the control log.
+   *
+   * @param message the message
+   */
+  record Consensus(ConsensusMessage message) implements PeerMessage {}
+
+  /**
+   * Asks the control leader for a lease on the view.
+   *
+   * @param version the version of the view on which the VM acts
+   * @param reports the primaries that the VM cannot reach
+   * @param sentMillis when it was sent, on the VM's monotonic clock
+   * @param release whether the VM gives its lease back because it stops
+   */
+  record LeaseRequest(long version, List<ProbeReport> reports, long sentMillis, boolean release)
+      implements PeerMessage {}
+
+  /**
+   * Answers a request for a lease.
+   *
+   * @param granted whether the lease is granted
+   * @param leader the control leader that the sender knows, if any
+   * @param registered whether the VM is registered in the view
+   * @param fromVersion the version to which {@code commands} apply
+   * @param commands the accepted commands after that version
+   * @param view the whole view, if the commands are not kept any more
+   * @param sentMillis the send time of the request, repeated
+   */
+  record LeaseReply(
+      boolean granted,
+      @Nullable String leader,
+      boolean registered,
+      long fromVersion,
+      List<ViewCommand> commands,
+      @Nullable View view,
+      long sentMillis)
+      implements PeerMessage {}
+
+  /**
+   * Tells a VM that a newer version of the view exists.
+   *
+   * @param version the version
+   */
+  record ViewNews(long version) implements PeerMessage {}
+
+  /**
+   * Asks the control leader to register the sender.
+   *
+   * @param vm the record of the sender
+   */
+  record Registration(VmRecord vm) implements PeerMessage {}
+
+  /**
+   * Passes announcements of backend servers on.
+   *
+   * @param items the announcements
+   */
+  record Announcements(List<RelayedAnnouncement> items) implements PeerMessage {}
+
+  /**
+   * An announcement that another VM received.
+   *
+   * @param announcement the announcement
+   * @param ageMillis how long ago it was received, in milliseconds
+   */
+  record RelayedAnnouncement(Announcement announcement, long ageMillis) {}
+
+  /**
+   * Asks the control leader for tokens of a customer.
+   *
+   * @param customer the customer
+   * @param unused the tokens in stock
+   * @param wanted the tokens wanted
+   */
+  record TokenRequest(String customer, long unused, long wanted) implements PeerMessage {}
+
+  /**
+   * Answers a request for tokens.
+   *
+   * @param tokens the tokens issued
+   * @param retryMillis when it is worth to ask again, in milliseconds
+   */
+  record TokenReply(long tokens, long retryMillis) implements PeerMessage {}
+
+  /**
+   * Claims a request id.
+   *
+   * @param customer the customer
+   * @param requestId the request id
+   * @param attempt a number that is unique to the attempt
+   */
+  record ClaimRequest(String customer, String requestId, String attempt) implements PeerMessage {}
+
+  /**
+   * Answers a claim.
+   *
+   * @param reply the holder's reply
+   */
+  record ClaimAnswer(ClaimReply reply) implements PeerMessage {}
+
+  /**
+   * Ends an attempt that holds claims.
+   *
+   * @param customer the customer
+   * @param requestId the request id
+   * @param attempt the attempt
+   * @param answer the answer to record; null if the attempt did not run
+   */
+  record ClaimEnd(String customer, String requestId, String attempt, @Nullable String answer)
+      implements PeerMessage {}
+
+  /**
+   * Carries a step of a transaction to the VM that holds it.
+   *
+   * @param step the step, as JSON
+   */
+  record ForwardRequest(String step) implements PeerMessage {}
+
+  /**
+   * Answers a forwarded step.
+   *
+   * @param status the HTTP status
+   * @param body the JSON body
+   * @param sessionToken the new session token, if it is known
+   */
+  record ForwardReply(int status, String body, @Nullable String sessionToken)
+      implements PeerMessage {}
+
+  /**
+   * Asks the control leader to append a change.
+   *
+   * @param command the change
+   */
+  record ChangeRequest(ViewCommand command) implements PeerMessage {}
+
+  /**
+   * Answers a change.
+   *
+   * @param result the result, if the change was decided
+   * @param failure why it was not decided
+   */
+  record ChangeReply(@Nullable ChangeRecord result, @Nullable ResultCode failure)
+      implements PeerMessage {}
+
+  /**
+   * Asks the control leader for the state of the fleet.
+   *
+   * @param version the version of the view that is asked about
+   * @param graceMillis how long after its lease a VM may act on the matter, in milliseconds
+   * @param withHistory whether the results of recent changes are wanted
+   */
+  record FleetQuery(long version, long graceMillis, boolean withHistory) implements PeerMessage {}
+
+  /**
+   * Answers a query for the state of the fleet.
+   *
+   * @param leader the control leader, or null if none answers
+   * @param term the term of the control log
+   * @param version the latest version of the view
+   * @param waitingFor the VMs in which the version asked about is not in force
+   * @param leaseHolders the VMs that may hold a lease
+   * @param history the results of recent changes, oldest first
+   */
+  record FleetReply(
+      @Nullable String leader,
+      long term,
+      long version,
+      List<String> waitingFor,
+      List<String> leaseHolders,
+      List<ChangeRecord> history)
+      implements PeerMessage {}
+}
--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerNetwork.java
@@ -0,0 +1,232 @@
+package org.cowslipdale.daemon.peer;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static java.util.Objects.requireNonNull;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import java.io.IOException;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+import org.cowslipdale.daemon.version.VmClock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Sends messages to other VMs over TCP and receives theirs.
+ *
+ * <p>Connections are opened when needed, carry heartbeats in both directions, and are replaced when
+ * they fall silent, whatever TCP says about them. This class is safe for use by several threads.
+ */
+public final class PeerNetwork implements AutoCloseable {
+
+  private static final Logger LOG = LoggerFactory.getLogger(PeerNetwork.class);
+
+  private final String self;
+  private final String proof;
+  private final Vertx vertx;
+  private final VmClock clock;
+  private final Function<String, Optional<String>> addresses;
+  private final AtomicLong sentBytes;
+  private final Map<String, PeerConnection> connections = new ConcurrentHashMap<>();
+  private volatile PeerHandler handler = (from, message, reply) -> {};
+  private final NetServer server;
+
+  /**
+   * Creates a network.
+   *
+   * @param self the name of this VM
+   * @param clusterSecret the secret shared by all VMs
+   * @param vertx the Vert.x instance whose event loops do the I/O
+   * @param clock the clocks of the VM
+   * @param addresses finds the address of a VM by its name
+   * @param sentBytes counts the bytes sent
+   */
+  public PeerNetwork(
+      String self,
+      String clusterSecret,
+      Vertx vertx,
+      VmClock clock,
+      Function<String, Optional<String>> addresses,
+      AtomicLong sentBytes) {
+    this.self = requireNonNull(self, "self");
+    this.proof = proof(clusterSecret);
+    this.vertx = requireNonNull(vertx, "vertx");
+    this.clock = requireNonNull(clock, "clock");
+    this.addresses = requireNonNull(addresses, "addresses");
+    this.sentBytes = requireNonNull(sentBytes, "sentBytes");
+    this.server =
+        vertx
+            .createNetServer(new NetServerOptions().setTcpNoDelay(true))
+            .connectHandler(this::accept);
+  }
+
+  /**
+   * Binds the address and starts to receive.
+   *
+   * @param address the address to bind
+   * @param receiver takes in the messages of other VMs
+   */
+  public Future<Void> listen(String address, PeerHandler receiver) {
+    this.handler = receiver;
+    int colon = address.lastIndexOf(':');
+    return server
+        .listen(Integer.parseInt(address.substring(colon + 1)), address.substring(0, colon))
+        .mapEmpty();
+  }
+
+  /**
+   * Sends a message; it is lost if the VM cannot be reached.
+   *
+   * @param vm the name of the receiver
+   * @param message the message
+   */
+  public void send(String vm, PeerMessage message) {
+    connection(vm).ifPresent(connection -> connection.send(message));
+  }
+
+  /**
+   * Sends a message and waits for the reply.
+   *
+   * @param vm the name of the receiver
+   * @param message the message
+   * @param timeoutMillis how long to wait, in milliseconds
+   * @return completes with the reply, or with an {@link IOException}
+   */
+  public CompletableFuture<PeerMessage> ask(String vm, PeerMessage message, long timeoutMillis) {
+    Optional<PeerConnection> connection = connection(vm);
+    if (connection.isEmpty()) {
+      return CompletableFuture.failedFuture(new IOException("VM " + vm + " is not known"));
+    }
+    return connection.get().ask(message, timeoutMillis);
+  }
+
+  @Override
+  public void close() {
+    server.close();
+    connections.values().forEach(PeerConnection::close);
+  }
+
+  private Optional<PeerConnection> connection(String vm) {
+    Optional<String> address = addresses.apply(vm);
+    if (address.isEmpty()) {
+      return Optional.empty();
+    }
+    PeerConnection known = connections.get(vm);
+    if (known != null && known.address().equals(address.get())) {
+      return Optional.of(known);
+    }
+    return Optional.of(
+        connections.compute(
+            vm,
+            (name, existing) -> {
+              if (existing != null && existing.address().equals(address.get())) {
+                return existing;
+              }
+              if (existing != null) {
+                existing.close();
+              }
+              PeerMessage.Hello hello = new PeerMessage.Hello(self, proof);
+              return new PeerConnection(vertx, clock, address.get(), hello, sentBytes);
+            }));
+  }
+
+  private void accept(NetSocket socket) {
+    new AcceptedPeer(socket).start();
+  }
+
+  /** A connection that another VM opened. */
+  private final class AcceptedPeer {
+
+    private final NetSocket socket;
+    private long heardMillis;
+    private String from = "";
+
+    AcceptedPeer(NetSocket socket) {
+      this.socket = socket;
+    }
+
+    void start() {
+      heardMillis = clock.millis();
+      socket.exceptionHandler(e -> socket.close());
+      socket.handler(FrameCodec.parser(this::payload, socket::close));
+      long timer = vertx.setPeriodic(PeerConnection.HEARTBEAT_MILLIS, id -> checkSilence());
+      socket.closeHandler(ignored -> vertx.cancelTimer(timer));
+    }
+
+    private void checkSilence() {
+      if (clock.millis() - heardMillis > PeerConnection.SERVER_SILENCE_MILLIS) {
+        socket.close();
+      }
+    }
+
+    private void payload(Buffer payload) {
+      heardMillis = clock.millis();
+      if (payload.length() == 0) {
+        write(FrameCodec.heartbeat());
+        return;
+      }
+      try {
+        PeerFrame frame = FrameCodec.decode(payload);
+        if (frame.message() instanceof PeerMessage.Hello hello) {
+          greet(hello);
+        } else if (from.isEmpty()) {
+          socket.close();
+        } else {
+          handler.received(from, frame.message(), message -> reply(frame, message));
+        }
+      } catch (IOException e) {
+        LOG.warn("closing a connection with an unreadable message: {}", e.getMessage());
+        socket.close();
+      }
+    }
+
+    private void greet(PeerMessage.Hello hello) {
+      if (MessageDigest.isEqual(hello.proof().getBytes(UTF_8), proof.getBytes(UTF_8))) {
+        from = hello.vm();
+      } else {
+        LOG.warn("closing a connection of {} with a wrong cluster secret", hello.vm());
+        socket.close();
+      }
+    }
+
+    private void reply(PeerFrame request, PeerMessage message) {
+      if (request.correlation() == 0) {
+        return;
+      }
+      try {
+        write(FrameCodec.encode(new PeerFrame(request.correlation(), true, message)));
+      } catch (IOException e) {
+        throw new IllegalStateException("peer messages can be encoded", e);
+      }
+    }
+
+    private void write(Buffer frame) {
+      sentBytes.addAndGet(frame.length());
+      socket.write(frame);
+    }
+  }
+
+  private static String proof(String clusterSecret) {
+    try {
+      Mac mac = Mac.getInstance("HmacSHA256");
+      mac.init(new SecretKeySpec(clusterSecret.getBytes(UTF_8), "HmacSHA256"));
+      return HexFormat.of().formatHex(mac.doFinal("cowslipdale peer v1".getBytes(UTF_8)));
+    } catch (GeneralSecurityException e) {
+      throw new IllegalStateException("every Java runtime provides HmacSHA256", e);
+    }
+  }
+}
--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/AdminServer.java
@@ -0,0 +1,348 @@
+package org.cowslipdale.daemon.process;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import java.io.IOException;
+import java.security.MessageDigest;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.cowslipdale.config.codec.Codecs;
+import org.cowslipdale.config.protocol.AdminMessages.ConfigurationBody;
+import org.cowslipdale.config.protocol.AdminMessages.ConfigurationUpdate;
+import org.cowslipdale.config.protocol.AdminMessages.DrainBody;
+import org.cowslipdale.config.protocol.AdminMessages.HistoryBody;
+import org.cowslipdale.config.protocol.AdminMessages.InForceBody;
+import org.cowslipdale.config.protocol.AdminMessages.KeyAddition;
+import org.cowslipdale.config.protocol.AdminMessages.KeyInfo;
+import org.cowslipdale.config.protocol.AdminMessages.KeyList;
+import org.cowslipdale.config.protocol.AdminMessages.Removal;
+import org.cowslipdale.config.protocol.AdminMessages.StatusBody;
+import org.cowslipdale.config.protocol.ErrorBody;
+import org.cowslipdale.config.settings.DaemonSettings;
+import org.cowslipdale.core.backend.Announcement;
+import org.cowslipdale.core.backend.BackendRegistry;
+import org.cowslipdale.core.control.LeaseTimings;
+import org.cowslipdale.core.result.CowslipException;
+import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.view.ApiKey;
+import org.cowslipdale.core.view.ConfigurationChange;
+import org.cowslipdale.core.view.View;
+import org.cowslipdale.core.view.ViewCommand;
+import org.cowslipdale.daemon.control.ControlPlane;
+import org.cowslipdale.daemon.peer.PeerMessage.FleetQuery;
+import org.cowslipdale.daemon.peer.PeerMessage.FleetReply;
+import org.cowslipdale.daemon.version.CurrentView;
+import org.cowslipdale.daemon.version.ViewHolder;
+import org.cowslipdale.daemon.version.VmClock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Serves operators, backend servers' announcements, health checks and metrics over HTTP.
+ *
+ * <p>{@code docs/OPERATIONS.md} lists the paths.
+ */
+final class AdminServer {
+
+  private static final Logger LOG = LoggerFactory.getLogger(AdminServer.class);
+  private static final ObjectMapper JSON = Codecs.json();
+  private static final String BEARER = "Bearer ";
+
+  private final Vertx vertx;
+  private final DaemonSettings settings;
+  private final ControlPlane control;
+  private final ViewHolder views;
+  private final BackendRegistry registry;
+  private final Readiness readiness;
+  private final PrometheusMeterRegistry meters;
+  private final VmClock clock;
+  private final HttpServer server;
+
+  AdminServer(
+      Vertx vertx,
+      DaemonSettings settings,
+      ControlPlane control,
+      ViewHolder views,
+      BackendRegistry registry,
+      Readiness readiness,
+      PrometheusMeterRegistry meters,
+      VmClock clock) {
+    this.vertx = requireNonNull(vertx, "vertx");
+    this.settings = requireNonNull(settings, "settings");
+    this.control = requireNonNull(control, "control");
+    this.views = requireNonNull(views, "views");
+    this.registry = requireNonNull(registry, "registry");
+    this.readiness = requireNonNull(readiness, "readiness");
+    this.meters = requireNonNull(meters, "meters");
+    this.clock = requireNonNull(clock, "clock");
+    this.server = vertx.createHttpServer().requestHandler(this::receive);
+  }
+
+  /** Binds the address and starts to serve. */
+  Future<Void> start() {
+    String[] address = settings.listen().admin().split(":", 2);
+    return server.listen(Integer.parseInt(address[1]), address[0]).mapEmpty();
+  }
+
+  /** Stops to serve. */
+  Future<Void> stop() {
+    return server.close();
+  }
+
+  private void receive(HttpServerRequest request) {
+    request
+        .body()
+        .onSuccess(
+            body -> {
+              try {
+                dispatch(request, body);
+              } catch (CowslipException e) {
+                fail(request, e.code(), String.valueOf(e.getMessage()));
+              } catch (IOException e) {
+                LOG.debug("unreadable request", e);
+                fail(request, ResultCode.BAD_REQUEST, ResultCode.BAD_REQUEST.text());
+              }
+            });
+  }
+
+  private void dispatch(HttpServerRequest request, Buffer body)
+      throws IOException, CowslipException {
+    String route = request.method().name() + " " + request.path();
+    switch (route) {
+      case "GET /health/live" -> request.response().end("live\n");
+      case "GET /health/ready" -> ready(request);
+      case "GET /metrics" -> metrics(request);
+      case "POST /v1/announcements" -> announce(request, body);
+      default -> {
+        authorize(request, settings.secrets().adminToken(), ResultCode.ADMIN_UNAUTHENTICATED);
+        administer(request, route, body);
+      }
+    }
+  }
+
+  private void administer(HttpServerRequest request, String route, Buffer body)
+      throws IOException, CowslipException {
+    switch (route) {
+      case "GET /v1/admin/configuration" -> answer(request, 200, configuration());
+      case "PUT /v1/admin/configuration" -> apply(request, read(body, ConfigurationUpdate.class));
+      case "GET /v1/admin/keys" -> answer(request, 200, keys());
+      case "POST /v1/admin/keys" -> addKey(request, read(body, KeyAddition.class));
+      case "POST /v1/admin/keys/withdraw" -> {
+        Removal removal = read(body, Removal.class);
+        change(
+            request,
+            new ViewCommand.WithdrawKey(removal.requestId(), clock.wallMillis(), removal.name()));
+      }
+      case "POST /v1/admin/vms/remove" -> {
+        Removal removal = read(body, Removal.class);
+        change(
+            request,
+            new ViewCommand.RemoveVm(removal.requestId(), clock.wallMillis(), removal.name()));
+      }
+      case "POST /v1/admin/drain" -> {
+        DrainBody drain = read(body, DrainBody.class);
+        readiness.setDrained(drain.drained());
+        answer(request, 200, drain);
+      }
+      case "GET /v1/admin/status" -> status(request);
+      case "GET /v1/admin/history" -> history(request);
+      case "GET /v1/admin/in-force" -> inForce(request);
+      default -> fail(request, ResultCode.NOT_FOUND, "No such path: " + request.path());
+    }
+  }
+
+  private void ready(HttpServerRequest request) {
+    boolean ready = readiness.isReady();
+    request.response().setStatusCode(ready ? 200 : 503).end(ready ? "ready\n" : "not ready\n");
+  }
+
+  private void metrics(HttpServerRequest request) {
+    request
+        .response()
+        .putHeader("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+        .end(meters.scrape());
+  }
+
+  private void announce(HttpServerRequest request, Buffer body)
+      throws IOException, CowslipException {
+    authorize(request, settings.secrets().announceToken(), ResultCode.ADMIN_UNAUTHENTICATED);
+    control.announced(read(body, Announcement.class));
+    request.response().setStatusCode(204).end();
+  }
+
+  private ConfigurationBody configuration() {
+    View view = views.get().view();
+    return new ConfigurationBody(view.version(), view.configurationVersion(), view.configuration());
+  }
+
+  /** Turns the wanted configuration into a difference; the version guards against a race. */
+  private void apply(HttpServerRequest request, ConfigurationUpdate update) {
+    View view = views.get().view();
+    boolean sameBase = view.configurationVersion() == update.expectedVersion();
+    ConfigurationChange change =
+        (sameBase ? view.configuration() : update.configuration()).changeTo(update.configuration());
+    change(
+        request,
+        new ViewCommand.ChangeConfiguration(
+            update.requestId(), clock.wallMillis(), update.expectedVersion(), change));
+  }
+
+  private KeyList keys() {
+    return new KeyList(
+        views.get().view().keys().values().stream()
+            .map(key -> new KeyInfo(key.id(), key.customer()))
+            .sorted((a, b) -> a.id().compareTo(b.id()))
+            .toList());
+  }
+
+  private void addKey(HttpServerRequest request, KeyAddition addition) {
+    ApiKey key = addition.key();
+    change(request, new ViewCommand.AddKey(addition.requestId(), clock.wallMillis(), key));
+  }
+
+  private void change(HttpServerRequest request, ViewCommand command) {
+    respond(
+        request,
+        control.propose(command),
+        reply -> {
+          if (reply.result() == null) {
+            ResultCode failure =
+                Optional.ofNullable(reply.failure()).orElse(ResultCode.CHANGE_OUTCOME_UNKNOWN);
+            fail(request, failure, failure.text());
+          } else if (reply.result().code() == ResultCode.OK) {
+            answer(request, 200, reply.result());
+          } else {
+            fail(request, reply.result().code(), reply.result().message());
+          }
+        });
+  }
+
+  private void status(HttpServerRequest request) {
+    respond(
+        request,
+        control.fleet(new FleetQuery(0, 0, false)),
+        fleet -> {
+          CurrentView current = views.get();
+          long leaseMillis = current.lease().endMillis() - clock.millis();
+          answer(
+              request,
+              200,
+              StatusBody.of(
+                  settings.vm().name(),
+                  current.view(),
+                  Math.max(0, leaseMillis),
+                  registry,
+                  fleet.map(FleetReply::leader).orElse(null),
+                  fleet.map(FleetReply::leaseHolders).orElse(List.of()),
+                  clock.millis()));
+        });
+  }
+
+  private void history(HttpServerRequest request) {
+    respond(
+        request,
+        control.fleet(new FleetQuery(0, 0, true)),
+        fleet -> {
+          if (fleet.isEmpty()) {
+            fail(request, ResultCode.NO_LEADER, ResultCode.NO_LEADER.text());
+          } else {
+            answer(request, 200, new HistoryBody(fleet.get().history()));
+          }
+        });
+  }
+
+  private void inForce(HttpServerRequest request) throws CowslipException {
+    long version = parseVersion(request.getParam("version", ""));
+    boolean keys = request.getParam("kind", "view").equals("keys");
+    long grace = keys ? LeaseTimings.KEY_GRACE_BOUND_MILLIS : 0;
+    respond(
+        request,
+        control.fleet(new FleetQuery(version, grace, false)),
+        fleet -> {
+          if (fleet.isEmpty()) {
+            fail(request, ResultCode.NO_LEADER, ResultCode.NO_LEADER.text());
+            return;
+          }
+          List<String> waiting = fleet.get().waitingFor();
+          boolean known = fleet.get().version() >= version;
+          answer(request, 200, new InForceBody(version, known && waiting.isEmpty(), waiting));
+        });
+  }
+
+  private static long parseVersion(String text) throws CowslipException {
+    try {
+      return Long.parseLong(text);
+    } catch (NumberFormatException e) {
+      throw new CowslipException(
+          ResultCode.BAD_REQUEST, "The parameter version must be a whole number.", e);
+    }
+  }
+
+  /** Continues on the event loop of the request when the control plane has answered. */
+  private <T> void respond(
+      HttpServerRequest request, CompletableFuture<T> future, Consumer<T> then) {
+    var context = vertx.getOrCreateContext();
+    future.whenComplete(
+        (value, failure) ->
+            context.runOnContext(
+                ignored -> {
+                  if (failure == null) {
+                    then.accept(value);
+                  } else {
+                    LOG.error("an administration call failed", failure);
+                    fail(request, ResultCode.INTERNAL_ERROR, ResultCode.INTERNAL_ERROR.text());
+                  }
+                }));
+  }
+
+  private static void authorize(HttpServerRequest request, String token, ResultCode code)
+      throws CowslipException {
+    String header = request.getHeader("Authorization");
+    String shown =
+        header != null && header.startsWith(BEARER) ? header.substring(BEARER.length()) : "";
+    if (!MessageDigest.isEqual(shown.getBytes(UTF_8), token.getBytes(UTF_8))) {
+      throw new CowslipException(code, code.text());
+    }
+  }
+
+  private static <T> T read(Buffer body, Class<T> type) throws IOException, CowslipException {
+    T value;
+    try {
+      value = JSON.readValue(body.getBytes(), type);
+    } catch (JsonProcessingException e) {
+      throw new CowslipException(
+          ResultCode.BAD_REQUEST, "The body is not valid: " + e.getOriginalMessage(), e);
+    }
+    if (value == null) {
+      throw new CowslipException(ResultCode.BAD_REQUEST, "The body is missing.");
+    }
+    return value;
+  }
+
+  private static void answer(HttpServerRequest request, int status, Object body) {
+    try {
+      request
+          .response()
+          .setStatusCode(status)
+          .putHeader("Content-Type", "application/json")
+          .end(Buffer.buffer(JSON.writeValueAsBytes(body)));
+    } catch (IOException e) {
+      throw new IllegalStateException("administration answers can be written as JSON", e);
+    }
+  }
+
+  private static void fail(HttpServerRequest request, ResultCode code, String message) {
+    answer(request, code.httpStatus(), ErrorBody.of(code, message));
+  }
+}
--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/CallerServer.java
@@ -0,0 +1,180 @@
+package org.cowslipdale.daemon.request;
+
+import static java.util.Objects.requireNonNull;
+
+import io.vertx.core.AbstractVerticle;
+import io.vertx.core.DeploymentOptions;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cowslipdale.config.settings.DaemonSettings;
+import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.daemon.telemetry.RequestMetrics;
+import org.cowslipdale.daemon.telemetry.Tracing;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Accepts callers' HTTP requests on several event loops and serves each on a virtual thread.
+ *
+ * <p>While draining, requests are still served and every reply asks the caller to close its
+ * connection.
+ */
+public final class CallerServer {
+
+  private static final Logger LOG = LoggerFactory.getLogger(CallerServer.class);
+  private static final String BEARER = "Bearer ";
+  private static final int IDLE_TIMEOUT_SECONDS = 60;
+
+  private final Vertx vertx;
+  private final DaemonSettings settings;
+  private final RequestService service;
+  private final Tracing tracing;
+  private final RequestMetrics metrics;
+  private final AtomicInteger inProgress = new AtomicInteger();
+  private final AtomicBoolean draining = new AtomicBoolean();
+  private @Nullable String deployment;
+
+  CallerServer(
+      Vertx vertx,
+      DaemonSettings settings,
+      RequestService service,
+      Tracing tracing,
+      RequestMetrics metrics) {
+    this.vertx = requireNonNull(vertx, "vertx");
+    this.settings = requireNonNull(settings, "settings");
+    this.service = requireNonNull(service, "service");
+    this.tracing = requireNonNull(tracing, "tracing");
+    this.metrics = requireNonNull(metrics, "metrics");
+  }
+
+  /** Binds the address and starts to serve. */
+  public Future<Void> start() {
+    DeploymentOptions options =
+        new DeploymentOptions().setInstances(settings.limits().eventLoops());
+    return vertx.deployVerticle(Listener::new, options).onSuccess(id -> deployment = id).mapEmpty();
+  }
+
+  /** Starts to ask callers to close their connections. */
+  public void drain() {
+    draining.set(true);
+  }
+
+  /** Returns the number of requests being served. */
+  public int inProgress() {
+    return inProgress.get();
+  }
+
+  /** Stops to accept connections and closes the open ones. */
+  public Future<Void> stop() {
+    return deployment == null ? Future.succeededFuture() : vertx.undeploy(deployment);
+  }
+
+  private final class Listener extends AbstractVerticle {
+
+    @Override
+    public void start(Promise<Void> started) {
+      String[] address = settings.listen().callers().split(":", 2);
+      HttpServerOptions options =
+          new HttpServerOptions()
+              .setIdleTimeout(IDLE_TIMEOUT_SECONDS)
+              .setIdleTimeoutUnit(TimeUnit.SECONDS)
+              .setTcpNoDelay(true)
+              .setMaxHeaderSize(settings.limits().maxHeaderBytes());
+      vertx
+          .createHttpServer(options)
+          .requestHandler(CallerServer.this::receive)
+          .listen(Integer.parseInt(address[1]), address[0])
+          .<Void>mapEmpty()
+          .onComplete(started);
+    }
+  }
+
+  private void receive(HttpServerRequest request) {
+    int maxBody = settings.limits().maxBodyBytes();
+    Buffer body = Buffer.buffer();
+    request.handler(
+        chunk -> {
+          if (body.length() + chunk.length() <= maxBody) {
+            body.appendBuffer(chunk);
+          } else if (!request.response().ended()) {
+            Reply reply =
+                Replies.error(ResultCode.REQUEST_TOO_LARGE, ResultCode.REQUEST_TOO_LARGE.text());
+            request.response().putHeader("Connection", "close");
+            send(request.response(), reply);
+          }
+        });
+    request.endHandler(
+        ignored -> {
+          if (!request.response().ended()) {
+            admit(request, body);
+          }
+        });
+  }
+
+  private void admit(HttpServerRequest request, Buffer body) {
+    if (inProgress.incrementAndGet() > settings.limits().maxConcurrentRequests()) {
+      inProgress.decrementAndGet();
+      send(
+          request.response(),
+          Replies.error(ResultCode.OVERLOADED, "This VM serves too many requests."));
+      return;
+    }
+    Thread.startVirtualThread(() -> serve(request, body));
+  }
+
+  private void serve(HttpServerRequest request, Buffer body) {
+    long startedNanos = System.nanoTime();
+    try (Tracing.Hop hop = tracing.start("entry", request.getHeader("traceparent"))) {
+      CallerRequest callerRequest = read(request, body, hop.traceparent());
+      Reply reply = serve(callerRequest);
+      hop.set("path", callerRequest.path());
+      hop.set("status", Integer.toString(reply.status()));
+      metrics.record(reply.status(), System.nanoTime() - startedNanos);
+      send(request.response(), reply);
+    } finally {
+      inProgress.decrementAndGet();
+    }
+  }
+
+  private Reply serve(CallerRequest request) {
+    try {
+      return service.handle(request);
+    } catch (RuntimeException e) {
+      LOG.error("request failed: {}", request, e);
+      return Replies.error(ResultCode.INTERNAL_ERROR, ResultCode.INTERNAL_ERROR.text());
+    }
+  }
+
+  private static CallerRequest read(HttpServerRequest request, Buffer body, String traceparent) {
+    String authorization = request.getHeader("Authorization");
+    boolean bearer = authorization != null && authorization.startsWith(BEARER);
+    return new CallerRequest(
+        request.method().name(),
+        request.path(),
+        bearer ? authorization.substring(BEARER.length()) : null,
+        request.getHeader("Session-Token"),
+        request.getHeader("Request-Id"),
+        traceparent,
+        body);
+  }
+
+  private void send(HttpServerResponse response, Reply reply) {
+    response.setStatusCode(reply.status()).putHeader("Content-Type", "application/json");
+    if (reply.sessionToken() != null) {
+      response.putHeader("Session-Token", reply.sessionToken());
+    }
+    if (draining.get()) {
+      response.putHeader("Connection", "close");
+    }
+    response.end(reply.body());
+  }
+}
--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/StatementRunner.java
@@ -0,0 +1,300 @@
+package org.cowslipdale.daemon.request;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.NullNode;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import org.cowslipdale.config.protocol.BackendAnswer;
+import org.cowslipdale.config.protocol.BackendCall;
+import org.cowslipdale.core.result.Outcome;
+import org.cowslipdale.core.result.RefusalException;
+import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.routing.RouteDecision;
+import org.cowslipdale.core.routing.RouteDecision.Conditions;
+import org.cowslipdale.core.routing.RouteDecision.RunOn;
+import org.cowslipdale.core.routing.RouteRequest;
+import org.cowslipdale.core.session.LogPosition;
+import org.cowslipdale.core.session.SessionToken;
+import org.cowslipdale.daemon.connection.BackendConnection.Operation;
+import org.cowslipdale.daemon.connection.BackendException;
+import org.cowslipdale.daemon.connection.BackendPool.PooledConnection;
+import org.cowslipdale.daemon.connection.HttpDatabaseConnector;
+import org.cowslipdale.daemon.telemetry.Tracing;
+import org.cowslipdale.daemon.version.CurrentView;
+import org.cowslipdale.daemon.version.ViewHolder;
+import org.cowslipdale.daemon.version.VmClock;
+
+/**
+ * Runs admitted requests on backend servers.
+ *
+ * <p>Until a request is sent it is routed again when a server declines it. Once it was sent and its
+ * answer is lost, it is sent again only if its class is repeatable; otherwise its outcome is
+ * unknown. The methods block the calling (virtual) thread.
+ */
+final class StatementRunner {
+
+  private static final long FIRST_PAUSE_MILLIS = 2;
+  private static final long LONGEST_PAUSE_MILLIS = 50;
+
+  private final ViewHolder views;
+  private final Backends backends;
+  private final Acknowledger acknowledger;
+  private final Tracing tracing;
+  private final VmClock clock;
+
+  StatementRunner(
+      ViewHolder views,
+      Backends backends,
+      Acknowledger acknowledger,
+      Tracing tracing,
+      VmClock clock) {
+    this.views = requireNonNull(views, "views");
+    this.backends = requireNonNull(backends, "backends");
+    this.acknowledger = requireNonNull(acknowledger, "acknowledger");
+    this.tracing = requireNonNull(tracing, "tracing");
+    this.clock = requireNonNull(clock, "clock");
+  }
+
+  /**
+   * A connection on which a transaction was begun.
+   *
+   * @param pooled the connection
+   * @param server the backend server
+   * @param answer the server's answer to the begin
+   */
+  record Begun(PooledConnection pooled, RunOn server, BackendAnswer answer) {}
+
+  /** Runs a single statement. */
+  Answer run(Caller caller, Work work, long deadlineMillis) throws RefusalException {
+    backends.retries().earn();
+    return new Attempts<Answer>(caller, work, false, deadlineMillis) {
+      @Override
+      Optional<Answer> attempt(RunOn target) throws RefusalException {
+        return runOn(target, this);
+      }
+    }.run();
+  }
+
+  /** Begins a transaction; the caller owns the connection afterwards. */
+  Begun begin(Caller caller, Work work, long deadlineMillis) throws RefusalException {
+    return new Attempts<Begun>(caller, work, true, deadlineMillis) {
+      @Override
+      Optional<Begun> attempt(RunOn target) throws RefusalException {
+        return beginOn(target, this);
+      }
+    }.run();
+  }
+
+  /** The attempts of one request to find a server that runs it. */
+  private abstract class Attempts<T> {
+
+    private final Caller caller;
+    private final Work work;
+    private final boolean transaction;
+    private final long deadlineMillis;
+    private final Set<String> tried = new HashSet<>();
+    private long pauseMillis = FIRST_PAUSE_MILLIS;
+    private boolean mayHaveRun;
+
+    Attempts(Caller caller, Work work, boolean transaction, long deadlineMillis) {
+      this.caller = caller;
+      this.work = work;
+      this.transaction = transaction;
+      this.deadlineMillis = deadlineMillis;
+    }
+
+    /** Tries one server; returns empty if the request did not run there. */
+    abstract Optional<T> attempt(RunOn target) throws RefusalException;
+
+    T run() throws RefusalException {
+      try {
+        return findServer();
+      } catch (RefusalException e) {
+        boolean claimsNotRun = e.code().outcome() == Outcome.NOT_RUN;
+        throw mayHaveRun && claimsNotRun ? new RefusalException(ResultCode.OUTCOME_UNKNOWN) : e;
+      }
+    }
+
+    private T findServer() throws RefusalException {
+      while (true) {
+        switch (route()) {
+          case RouteDecision.Refuse refuse -> throw new RefusalException(refuse.code());
+          case RouteDecision.Wait wait -> pause(wait.code());
+          case RunOn target -> {
+            Optional<T> result = attempt(target);
+            if (result.isPresent()) {
+              return result.get();
+            }
+            declined(target);
+          }
+        }
+      }
+    }
+
+    private RouteDecision route() {
+      CurrentView current = views.get();
+      RouteRequest request =
+          new RouteRequest(
+              work.database(),
+              work.workClass(),
+              caller.session().position(work.database()),
+              transaction,
+              tried);
+      return backends
+          .router()
+          .route(
+              request,
+              backends.registry().group(work.database()),
+              current.view().database(work.database()),
+              current.lease(),
+              clock.millis());
+    }
+
+    private void declined(RunOn target) throws RefusalException {
+      tried.add(target.server().name());
+      if (target.conditions().asPrimary()) {
+        pause(ResultCode.NO_PRIMARY);
+      }
+    }
+
+    private void pause(ResultCode code) throws RefusalException {
+      long now = clock.millis();
+      if (now >= deadlineMillis) {
+        throw new RefusalException(code);
+      }
+      long jittered = pauseMillis / 2 + ThreadLocalRandom.current().nextLong(pauseMillis);
+      sleep(Math.min(jittered + 1, deadlineMillis - now));
+      pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, pauseMillis * 2);
+      tried.clear();
+    }
+
+    private PooledConnection acquire(RunOn target) throws RefusalException, BackendException {
+      int activeVms = Math.max(1, views.get().view().activeVms().size());
+      return backends
+          .pools()
+          .acquire(target.server(), activeVms, caller.customer(), deadlineMillis);
+    }
+  }
+
+  private Optional<Answer> runOn(RunOn target, Attempts<?> attempts) throws RefusalException {
+    Work work = attempts.work;
+    try (Tracing.Hop hop = tracing.start("backend", attempts.caller.traceparent());
+        PooledConnection pooled = attempts.acquire(target)) {
+      hop.set("server", target.server().name());
+      BackendAnswer answer =
+          pooled
+              .connection()
+              .call(Operation.STATEMENT, call(target, work), work.workClass().runLimitMillis());
+      pooled.markClean();
+      answered(work.database(), target, answer);
+      return judge(target, attempts, answer);
+    } catch (BackendException e) {
+      return failed(target, attempts, e);
+    }
+  }
+
+  private Optional<Begun> beginOn(RunOn target, Attempts<?> attempts) throws RefusalException {
+    Work work = attempts.work;
+    PooledConnection pooled = null;
+    try {
+      pooled = attempts.acquire(target);
+      BackendAnswer answer =
+          pooled
+              .connection()
+              .call(Operation.BEGIN, call(target, work), work.workClass().runLimitMillis());
+      answered(work.database(), target, answer);
+      if (answer.declined() == null) {
+        return Optional.of(new Begun(pooled, target, answer));
+      }
+      pooled.markClean();
+      pooled.close();
+      return Optional.empty();
+    } catch (BackendException e) {
+      if (pooled != null) {
+        pooled.close();
+      }
+      backends.health().failed(target.server().name(), clock.millis());
+      return Optional.empty();
+    }
+  }
+
+  private Optional<Answer> judge(RunOn target, Attempts<?> attempts, BackendAnswer answer)
+      throws RefusalException {
+    Work work = attempts.work;
+    if (answer.declined() != null) {
+      return Optional.empty();
+    }
+    if (answer.error() != null) {
+      throw new RefusalException(ResultCode.STATEMENT_FAILED, answer.error());
+    }
+    if (target.conditions().asPrimary()) {
+      boolean readOnly = work.workClass().readOnly();
+      if (readOnly
+          && !acknowledger.isCurrentPrimary(
+              work.database(), target.server().name(), target.term())) {
+        return Optional.empty();
+      }
+      if (!readOnly) {
+        acknowledger.acknowledge(work.database(), work.workClass(), target.server().name(), answer);
+      }
+    }
+    return Optional.of(
+        new Answer(result(answer), target.server().name(), advance(attempts.caller, work, answer)));
+  }
+
+  private Optional<Answer> failed(RunOn target, Attempts<?> attempts, BackendException e)
+      throws RefusalException {
+    backends.health().failed(target.server().name(), clock.millis());
+    if (!e.isSent()) {
+      return Optional.empty();
+    }
+    attempts.mayHaveRun |= !attempts.work.workClass().readOnly();
+    if (attempts.work.workClass().repeatable() && backends.retries().tryRetry()) {
+      return Optional.empty();
+    }
+    throw new RefusalException(ResultCode.OUTCOME_UNKNOWN);
+  }
+
+  private void answered(String database, RunOn target, BackendAnswer answer) {
+    String server = target.server().name();
+    backends.health().succeeded(server);
+    backends.registry().observe(database, server, answer.term(), answer.offset());
+  }
+
+  private static SessionToken advance(Caller caller, Work work, BackendAnswer answer) {
+    LogPosition position = new LogPosition(answer.term(), answer.offset());
+    return caller.session().advance(work.database(), position);
+  }
+
+  private static JsonNode result(BackendAnswer answer) {
+    JsonNode result = answer.result();
+    return result == null ? NullNode.instance : result;
+  }
+
+  private static BackendCall call(RunOn target, Work work) {
+    Conditions conditions = target.conditions();
+    return new BackendCall(
+        HttpDatabaseConnector.newCallId(),
+        target.term(),
+        conditions.asPrimary(),
+        conditions.minOffset(),
+        conditions.waitMillis(),
+        conditions.maxAgeMillis(),
+        !work.workClass().readOnly(),
+        work.body().statement(),
+        work.body().parameters());
+  }
+
+  private static void sleep(long millis) throws RefusalException {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new RefusalException(ResultCode.SHUTTING_DOWN);
+    }
+  }
+}
--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/telemetry/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * Traces with a span for each hop, and metrics.
+ *
+ * <p>Nothing in this package accepts or returns {@code null} unless it is marked {@code @Nullable}.
+ */
+@NullMarked
+package org.cowslipdale.daemon.telemetry;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/database/RunLog.java
@@ -0,0 +1,72 @@
+package org.cowslipdale.testsupport.database;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Map;
+import org.cowslipdale.config.codec.Codecs;
+import org.jspecify.annotations.Nullable;
+
+/** Writes what a stand-in server was asked and did, one JSON object a line, for tests to judge. */
+final class RunLog implements AutoCloseable {
+
+  private static final ObjectMapper JSON = Codecs.json();
+
+  private final @Nullable BufferedWriter writer;
+
+  RunLog(String file) throws IOException {
+    this.writer =
+        file.isEmpty()
+            ? null
+            : Files.newBufferedWriter(
+                Path.of(file), UTF_8, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+  }
+
+  void write(Entry entry) throws IOException {
+    if (writer != null) {
+      writer.write(JSON.writeValueAsString(entry));
+      writer.newLine();
+      writer.flush();
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    if (writer != null) {
+      writer.close();
+    }
+  }
+
+  /**
+   * One call.
+   *
+   * @param atMillis when it was decided, in milliseconds since the epoch
+   * @param server the server
+   * @param connection a number for the connection
+   * @param operation the path of the call
+   * @param call the identifier of the call
+   * @param statement the statement, if any
+   * @param effect {@code ran}, {@code declined} or {@code failed}
+   * @param term the term of the server
+   * @param offset the end of the server's log after the call
+   * @param headers all headers that came with the call
+   */
+  @JsonInclude(JsonInclude.Include.NON_NULL)
+  record Entry(
+      long atMillis,
+      String server,
+      int connection,
+      String operation,
+      String call,
+      @Nullable String statement,
+      String effect,
+      long term,
+      long offset,
+      Map<String, String> headers) {}
+}
