--- /dev/null
+++ b/cowslipdale-cli/src/main/java/org/cowslipdale/cli/CliMain.java
@@ -0,0 +1,144 @@
+package org.cowslipdale.cli;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.cowslipdale.config.ini.IniException;
+import org.cowslipdale.core.result.ResultCode;
+
+/** Entry point of {@code cowslipdale}. */
+public final class CliMain {
+
+  private static final String VERSION = "0.1.0";
+  private static final String EXAMPLES =
+      """
+
+        Examples:
+          export COWSLIPDALE_SERVER=127.0.0.1:8201,127.0.0.1:8202
+          export COWSLIPDALE_TOKEN=...
+          cowslipdale status
+          cowslipdale apply fleet.ini
+          cowslipdale key-add acme
+          cowslipdale --wait 20 key-withdraw 3f2a90b1c7de
+          cowslipdale --json history
+
+        Exit codes: 0 done, 1 refused, 2 wrong command line, 3 wrong file,
+        4 no answer or outcome unknown, 5 not in force everywhere in time.
+      """;
+
+  private CliMain() {}
+
+  /**
+   * Runs one command.
+   *
+   * @param args see {@code --help}
+   */
+  public static void main(String[] args) {
+    ExitCode exit = run(args, System.out, System.err);
+    System.exit(exit.number());
+  }
+
+  private static ExitCode run(String[] args, PrintStream out, PrintStream err) {
+    Options options = new Options();
+    Options.Apply apply = new Options.Apply();
+    Options.KeyAdd keyAdd = new Options.KeyAdd();
+    Options.KeyWithdraw keyWithdraw = new Options.KeyWithdraw();
+    Options.VmRemove vmRemove = new Options.VmRemove();
+    Options.Watch watch = new Options.Watch();
+    JCommander commander =
+        JCommander.newBuilder()
+            .programName("cowslipdale")
+            .addObject(options)
+            .addCommand("apply", apply)
+            .addCommand("show", new Options.Show())
+            .addCommand("history", new Options.History())
+            .addCommand("status", new Options.Status())
+            .addCommand("key-add", keyAdd)
+            .addCommand("key-withdraw", keyWithdraw)
+            .addCommand("key-list", new Options.KeyList())
+            .addCommand("vm-remove", vmRemove)
+            .addCommand("drain", new Options.Drain())
+            .addCommand("undrain", new Options.Undrain())
+            .addCommand("watch", watch)
+            .build();
+    try {
+      commander.parse(args);
+    } catch (ParameterException e) {
+      err.println("cowslipdale: " + e.getMessage() + "; see --help");
+      return ExitCode.USAGE;
+    }
+    if (options.version) {
+      out.println("cowslipdale " + VERSION);
+      return ExitCode.OK;
+    }
+    String command = commander.getParsedCommand();
+    if (options.help || command == null) {
+      StringBuilder usage = new StringBuilder();
+      commander.getUsageFormatter().usage(usage);
+      out.print(usage);
+      out.print(EXAMPLES);
+      return options.help ? ExitCode.OK : ExitCode.USAGE;
+    }
+    try {
+      Commands commands =
+          new Commands(options, new AdminClient(servers(options), token(options)), out);
+      switch (command) {
+        case "apply" -> commands.apply(apply);
+        case "show" -> commands.show();
+        case "history" -> commands.history();
+        case "status" -> commands.status();
+        case "key-add" -> commands.keyAdd(keyAdd);
+        case "key-withdraw" -> commands.keyWithdraw(keyWithdraw);
+        case "key-list" -> commands.keyList();
+        case "vm-remove" -> commands.vmRemove(vmRemove);
+        case "drain" -> commands.drain(true);
+        case "undrain" -> commands.drain(false);
+        default -> commands.watch(watch);
+      }
+      return ExitCode.OK;
+    } catch (CliException e) {
+      err.println(
+          "cowslipdale: error %d (%s): %s"
+              .formatted(e.code().number(), e.code().name(), e.getMessage()));
+      return e.exit();
+    } catch (IniException e) {
+      err.println(e.getMessage());
+      return ExitCode.FILE;
+    }
+  }
+
+  private static List<String> servers(Options options) throws CliException {
+    if (!options.servers.isEmpty()) {
+      return options.servers;
+    }
+    String variable = System.getenv("COWSLIPDALE_SERVER");
+    if (variable == null || variable.isBlank()) {
+      throw usage("give --server or set COWSLIPDALE_SERVER");
+    }
+    return Arrays.stream(variable.split(",", -1)).map(String::strip).toList();
+  }
+
+  private static String token(Options options) throws CliException {
+    if (!options.tokenFile.isEmpty()) {
+      try {
+        return Files.readString(Path.of(options.tokenFile)).strip();
+      } catch (IOException e) {
+        throw usage("cannot read the token file: " + e.getMessage());
+      }
+    }
+    String variable = System.getenv("COWSLIPDALE_TOKEN");
+    if (variable == null || variable.isBlank()) {
+      throw usage("give --token-file or set COWSLIPDALE_TOKEN");
+    }
+    return variable;
+  }
+
+  private static CliException usage(String message) {
+    return new CliException(ExitCode.USAGE, ResultCode.BAD_REQUEST, message, null);
+  }
+}
--- a/cowslipdale-config/src/main/java/org/cowslipdale/config/ini/IniFile.java
+++ b/cowslipdale-config/src/main/java/org/cowslipdale/config/ini/IniFile.java
@@ -20,6 +20,9 @@
 /** A parsed INI file that remembers the line of every section and key. */
 public final class IniFile {
 
+  /** How the parsing library writes a dot within a key. */
+  private static final String ESCAPED_DOT = "..";
+
   private final String name;
   private final List<IniSection> sections;
 
@@ -86,7 +89,8 @@
     Map<String, IniValue> values = new LinkedHashMap<>();
     for (Iterator<String> keys = section.getKeys(); keys.hasNext(); ) {
       String key = keys.next();
-      values.put(key, new IniValue(section.getString(key), lines.line(title, key)));
+      String name = key.replace(ESCAPED_DOT, ".");
+      values.put(name, new IniValue(section.getString(key), lines.line(title, name)));
     }
     return values;
   }
--- a/cowslipdale-config/src/main/java/org/cowslipdale/config/settings/DaemonSettings.java
+++ b/cowslipdale-config/src/main/java/org/cowslipdale/config/settings/DaemonSettings.java
@@ -16,6 +16,7 @@
  * @param limits limits that protect the daemon
  * @param observability logs and traces
  * @param policy the policies for routing and queueing
+ * @param translations where connections go instead of the announced address, by announced address
  */
 public record DaemonSettings(
     Vm vm,
@@ -24,11 +25,22 @@
     Secrets secrets,
     Limits limits,
     Observability observability,
-    Policy policy) {
+    Policy policy,
+    Map<String, String> translations) {
 
-  /** Copies the voters. */
+  /** Copies the maps. */
   public DaemonSettings {
     voters = Map.copyOf(voters);
+    translations = Map.copyOf(translations);
+  }
+
+  /**
+   * Returns the address to connect to for an announced address.
+   *
+   * @param announced the address that a VM or backend server announced
+   */
+  public String reachable(String announced) {
+    return translations.getOrDefault(announced, announced);
   }
 
   /** Returns whether this VM keeps the control log. */
--- a/cowslipdale-config/src/main/java/org/cowslipdale/config/settings/DaemonSettingsReader.java
+++ b/cowslipdale-config/src/main/java/org/cowslipdale/config/settings/DaemonSettingsReader.java
@@ -25,7 +25,15 @@
 public final class DaemonSettingsReader {
 
   private static final List<String> SECTIONS =
-      List.of("vm", "listen", "control", "secrets", "limits", "observability", "policy");
+      List.of(
+          "vm",
+          "listen",
+          "control",
+          "secrets",
+          "limits",
+          "observability",
+          "policy",
+          "address-translation");
   private static final List<String> REQUIRED = List.of("vm", "listen", "control", "secrets");
 
   private final IniFile file;
@@ -56,7 +64,8 @@
             readSecrets(),
             readLimits(),
             readObservability(),
-            readPolicy());
+            readPolicy(),
+            readTranslations());
     if (!problems.isEmpty()) {
       throw new IniException(problems);
     }
@@ -182,6 +191,23 @@
     return new Policy(routing, queue);
   }
 
+  /** Reads the section whose keys and values are addresses. */
+  private Map<String, String> readTranslations() {
+    Map<String, String> translations = new LinkedHashMap<>();
+    for (IniSection section : file.sections()) {
+      if (section.title().equals("address-translation")) {
+        SectionReader reader = new SectionReader(file.name(), section, problems);
+        for (String announced : section.values().keySet()) {
+          if (!SectionReader.isAddress(announced)) {
+            reader.reject(announced, "an address as key, such as 127.0.0.1:8080 = 127.0.0.1:9090");
+          }
+          translations.put(announced, reader.address(announced));
+        }
+      }
+    }
+    return translations;
+  }
+
   private SectionReader reader(String title) {
     for (IniSection section : file.sections()) {
       if (section.title().equals(title)) {
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/DefaultRouter.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/DefaultRouter.java
@@ -160,18 +160,21 @@
     };
   }
 
+  /** Stays in the region first, then spares the primary, then stays in the failure domain. */
   private Comparator<BackendServer> preference(DatabaseState state) {
-    return Comparator.comparingInt(this::distance)
+    return Comparator.comparing((BackendServer server) -> !isInRegion(server))
         .thenComparing(server -> server.name().equals(state.primary()))
+        .thenComparing(server -> !isInFailureDomain(server))
         .thenComparingInt(this::relativeLoad)
         .thenComparing(BackendServer::name);
   }
 
-  private int distance(BackendServer server) {
-    if (server.announcement().failureDomain().equals(failureDomain)) {
-      return 0;
-    }
-    return server.announcement().region().equals(region) ? 1 : 2;
+  private boolean isInRegion(BackendServer server) {
+    return server.announcement().region().equals(region);
+  }
+
+  private boolean isInFailureDomain(BackendServer server) {
+    return server.announcement().failureDomain().equals(failureDomain);
   }
 
   private int relativeLoad(BackendServer server) {
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/RoutingPolicy.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/RoutingPolicy.java
@@ -3,7 +3,7 @@
 /** How reads are spread over the servers that satisfy their freshness. */
 public sealed interface RoutingPolicy {
 
-  /** Prefers replicas, the nearest first, then the least loaded. */
+  /** Prefers the region, then replicas, then the failure domain, then the least loaded server. */
   record NearestReplica() implements RoutingPolicy {}
 
   /** Sends every read to the primary; a baseline for measurements. */
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/HttpDatabaseConnector.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/HttpDatabaseConnector.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.UnaryOperator;
 import org.cowslipdale.config.codec.Codecs;
 import org.cowslipdale.config.protocol.BackendAnswer;
 import org.cowslipdale.config.protocol.BackendCall;
@@ -30,13 +31,16 @@
   private static final ObjectMapper JSON = Codecs.json();
 
   private final HttpClientAgent client;
+  private final UnaryOperator<String> reachable;
 
   /**
    * Creates a connector.
    *
    * @param vertx the Vert.x instance whose event loops do the I/O
+   * @param reachable finds the address to connect to for an announced address
    */
-  public HttpDatabaseConnector(Vertx vertx) {
+  public HttpDatabaseConnector(Vertx vertx, UnaryOperator<String> reachable) {
+    this.reachable = reachable;
     HttpClientOptions options = new HttpClientOptions().setKeepAlive(true).setTcpNoDelay(true);
     this.client = vertx.createHttpClient(options);
   }
@@ -125,11 +129,13 @@
     }
   }
 
-  private static String host(String address) {
+  private String host(String announced) {
+    String address = reachable.apply(announced);
     return address.substring(0, address.lastIndexOf(':'));
   }
 
-  private static int port(String address) {
+  private int port(String announced) {
+    String address = reachable.apply(announced);
     return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
   }
 
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/AdminServer.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/AdminServer.java
@@ -186,12 +186,22 @@
     return new ConfigurationBody(view.version(), view.configurationVersion(), view.configuration());
   }
 
-  /** Turns the wanted configuration into a difference; the version guards against a race. */
-  private void apply(HttpServerRequest request, ConfigurationUpdate update) {
+  /**
+   * Turns the wanted configuration into a difference to the expected version.
+   *
+   * <p>If this VM has passed that version, the control leader has too; it then finds the result of
+   * an earlier attempt or reports the conflict, and the difference does not matter.
+   */
+  private void apply(HttpServerRequest request, ConfigurationUpdate update)
+      throws CowslipException {
     View view = views.get().view();
-    boolean sameBase = view.configurationVersion() == update.expectedVersion();
-    ConfigurationChange change =
-        (sameBase ? view.configuration() : update.configuration()).changeTo(update.configuration());
+    if (update.expectedVersion() > view.configurationVersion()) {
+      throw new CowslipException(
+          ResultCode.VERSION_CONFLICT,
+          "This VM knows the configuration up to version %d only."
+              .formatted(view.configurationVersion()));
+    }
+    ConfigurationChange change = view.configuration().changeTo(update.configuration());
     change(
         request,
         new ViewCommand.ChangeConfiguration(
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
@@ -78,7 +78,7 @@
     this.tracing = new Tracing(settings.observability().traceRatio());
     this.views = new ViewHolder(clock.millis());
     ServerHealth health = new ServerHealth();
-    DatabaseConnector connector = new HttpDatabaseConnector(vertx);
+    DatabaseConnector connector = new HttpDatabaseConnector(vertx, settings::reachable);
     this.pools =
         new BackendPools(
             connector, clock, settings.policy().queue(), settings.limits().maxQueued(), health);
@@ -186,9 +186,11 @@
   private Optional<String> peerAddress(String vm) {
     String configured = settings.voters().get(vm);
     if (configured != null) {
-      return Optional.of(configured);
+      return Optional.of(settings.reachable(configured));
     }
-    return Optional.ofNullable(views.get().view().vms().get(vm)).map(VmRecord::peerAddress);
+    return Optional.ofNullable(views.get().view().vms().get(vm))
+        .map(VmRecord::peerAddress)
+        .map(settings::reachable);
   }
 
   private void registerGauges(AtomicLong peerBytes) {
--- a/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/database/StandInOptions.java
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/database/StandInOptions.java
@@ -57,6 +57,21 @@
   @Parameter(names = "--run-log", description = "File to which every call is written")
   String runLog = "";
 
+  @Parameter(
+      names = "--translate",
+      description = "Where connections go instead of an address: IP:PORT=IP:PORT, with commas")
+  List<String> translate = new ArrayList<>();
+
   @Parameter(names = "--help", help = true, description = "Shows this help")
   boolean help;
+
+  /** Returns the address to connect to for an announced address. */
+  String reachable(String announced) {
+    for (String pair : translate) {
+      if (pair.startsWith(announced + "=")) {
+        return pair.substring(announced.length() + 1);
+      }
+    }
+    return announced;
+  }
 }
--- a/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/database/StandInServer.java
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/database/StandInServer.java
@@ -88,7 +88,11 @@
     this.faults = Faults.none(options.lagMillis);
     this.replicator = new Replicator(vertx, store, () -> faults);
     this.announcer =
-        new Announcer(vertx, options.announceTo, options.announceToken, this::announcement);
+        new Announcer(
+            vertx,
+            options.announceTo.stream().map(options::reachable).toList(),
+            options.announceToken,
+            this::announcement);
   }
 
   /**
@@ -222,7 +226,7 @@
     } else if (call.primary() != null) {
       role = ServerRole.REPLICA;
       abortTransactions();
-      replicator.follow(call.primary());
+      replicator.follow(options.reachable(call.primary()));
     }
     answer(request, status());
   }
--- /dev/null
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/demo/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * The demonstration that a newcomer runs first.
+ *
+ * <p>Nothing in this package accepts or returns {@code null} unless it is marked {@code @Nullable}.
+ */
+@NullMarked
+package org.cowslipdale.testsupport.demo;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/network/FaultNetwork.java
@@ -0,0 +1,101 @@
+package org.cowslipdale.testsupport.network;
+
+import io.vertx.core.Vertx;
+import java.util.HashMap;
+import java.util.Map;
+
+/** The links between failure domains: one for each pair of a domain and an address outside it. */
+public final class FaultNetwork implements AutoCloseable {
+
+  private final Vertx vertx = Vertx.vertx();
+  private final Map<Route, FaultLink> links = new HashMap<>();
+
+  /**
+   * A way from one failure domain to an address in another one.
+   *
+   * @param from the failure domain of the opening side
+   * @param to the failure domain of the address
+   * @param address the address
+   */
+  public record Route(String from, String to, String address) {}
+
+  /**
+   * Returns the address under which an address is reached from another failure domain.
+   *
+   * @param route the way
+   */
+  public String through(Route route) {
+    return links.computeIfAbsent(route, key -> new FaultLink(vertx, key.address())).address();
+  }
+
+  /**
+   * Sets the condition of all links between two failure domains, in both directions.
+   *
+   * @param a a failure domain
+   * @param b another failure domain
+   * @param condition the condition
+   */
+  public void between(String a, String b, LinkCondition condition) {
+    from(a, b, condition);
+    from(b, a, condition);
+  }
+
+  /**
+   * Sets the condition of the links that one failure domain opens to another one.
+   *
+   * @param from the failure domain of the opening side
+   * @param to the other failure domain
+   * @param condition the condition
+   */
+  public void from(String from, String to, LinkCondition condition) {
+    links.forEach(
+        (route, link) -> {
+          if (route.from().equals(from) && route.to().equals(to)) {
+            link.set(condition);
+          }
+        });
+  }
+
+  /**
+   * Cuts a failure domain off from all others.
+   *
+   * @param domain the failure domain
+   */
+  public void isolate(String domain) {
+    setAround(domain, LinkCondition.CUT);
+  }
+
+  /**
+   * Reconnects a failure domain.
+   *
+   * @param domain the failure domain
+   */
+  public void heal(String domain) {
+    setAround(domain, LinkCondition.PERFECT);
+  }
+
+  /** Makes every open connection between failure domains silent, while new ones work. */
+  public void silenceOpenConnections() {
+    links.values().forEach(FaultLink::silenceOpenConnections);
+  }
+
+  /** Returns the bytes that entered all links. */
+  public long bytes() {
+    return links.values().stream().mapToLong(FaultLink::bytes).sum();
+  }
+
+  @Override
+  public void close() {
+    links.values().forEach(FaultLink::close);
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+  }
+
+  private void setAround(String domain, LinkCondition condition) {
+    links.forEach(
+        (route, link) -> {
+          if (route.from().equals(domain) || route.to().equals(domain)) {
+            link.set(condition);
+          }
+        });
+  }
+}
