--- /dev/null
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/admission/SlotQueueTests.java
@@ -0,0 +1,92 @@
+package org.cowslipdale.core.admission;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class SlotQueueTests {
+
+  private static final long FOREVER = 1_000_000;
+
+  @Test
+  void takesCustomersInTurn() {
+    SlotQueue<String> queue = new SlotQueue<>(new QueuePolicy.Fair(), 1, 100);
+    offer(queue, "loud", 0);
+    for (int i = 0; i < 10; i++) {
+      assertThat(offer(queue, "loud", 0), is(Admission.QUEUED));
+    }
+    offer(queue, "small", 0);
+
+    List<String> order = drain(queue, 11);
+
+    assertThat(order.indexOf("small"), lessThanOrEqualTo(1));
+  }
+
+  @Test
+  void takesRequestsInOrderOfArrivalUnderTheBaseline() {
+    SlotQueue<String> queue = new SlotQueue<>(new QueuePolicy.Fifo(), 1, 100);
+    for (int i = 0; i < 11; i++) {
+      offer(queue, "loud", 0);
+    }
+    offer(queue, "small", 0);
+
+    assertThat(drain(queue, 11).indexOf("small"), is(10));
+  }
+
+  @Test
+  void refusesEarlyWhatWouldWaitBeyondItsLimit() {
+    SlotQueue<String> queue = new SlotQueue<>(new QueuePolicy.Fair(), 1, 1_000);
+    Ticket<String> first = new Ticket<>("loud", FOREVER, "loud");
+    queue.offer(first, 0);
+    for (int i = 0; i < 200; i++) {
+      queue.offer(first, 0);
+      queue.release(100, 0);
+    }
+    for (int i = 0; i < 10; i++) {
+      offer(queue, "loud", 0);
+    }
+
+    Ticket<String> impatientLoud = new Ticket<>("loud", 500, "loud");
+    Ticket<String> impatientSmall = new Ticket<>("small", 500, "small");
+
+    assertThat(queue.offer(impatientLoud, 0), is(Admission.REFUSED));
+    assertThat(queue.offer(impatientSmall, 0), is(Admission.QUEUED));
+  }
+
+  @Test
+  void expiresRequestsAtTheirLimit() {
+    SlotQueue<String> queue = new SlotQueue<>(new QueuePolicy.Fair(), 1, 100);
+    offer(queue, "a", 0);
+    queue.offer(new Ticket<>("a", 50, "late"), 0);
+
+    assertThat(queue.advance(49).expired().size(), is(0));
+    assertThat(queue.advance(50).expired().size(), is(1));
+    assertThat(queue.release(1, 51).dispatched().size(), is(0));
+  }
+
+  @Test
+  void boundsTheNumberOfWaitingRequests() {
+    SlotQueue<String> queue = new SlotQueue<>(new QueuePolicy.Fair(), 1, 2);
+
+    assertThat(offer(queue, "a", 0), is(Admission.DISPATCH));
+    assertThat(offer(queue, "a", 0), is(Admission.QUEUED));
+    assertThat(offer(queue, "a", 0), is(Admission.QUEUED));
+    assertThat(offer(queue, "b", 0), is(Admission.REFUSED));
+  }
+
+  private static Admission offer(SlotQueue<String> queue, String customer, long now) {
+    return queue.offer(new Ticket<>(customer, FOREVER, customer), now);
+  }
+
+  private static List<String> drain(SlotQueue<String> queue, int count) {
+    List<String> order = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      queue.release(1, 0).dispatched().forEach(ticket -> order.add(ticket.payload()));
+    }
+    return order;
+  }
+}
--- /dev/null
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/consensus/ConsensusNodeTests.java
@@ -0,0 +1,164 @@
+package org.cowslipdale.core.consensus;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.notNullValue;
+import static org.hamcrest.Matchers.nullValue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.cowslipdale.core.consensus.FakeVoters.Member;
+import org.cowslipdale.core.view.ApiKey;
+import org.cowslipdale.core.view.ViewCommand;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ConsensusNodeTests {
+
+  private static final long PATIENCE_MILLIS = 60_000;
+
+  private int keys;
+
+  @Test
+  void electsOneLeaderAndCommits() {
+    FakeVoters voters = new FakeVoters(1, "vm1", "vm2", "vm3");
+
+    Member leader = voters.awaitLeader(PATIENCE_MILLIS);
+    voters.propose(leader, addKey());
+    voters.run(1_000);
+
+    for (Member member : voters.running()) {
+      assertThat(member.state.history().size(), is(1));
+    }
+  }
+
+  @Test
+  void anIsolatedLeaderLosesItsLeaseBeforeAnotherIsElected() {
+    FakeVoters voters = new FakeVoters(2, "vm1", "vm2", "vm3");
+    Member leader = voters.awaitLeader(PATIENCE_MILLIS);
+
+    voters.isolate(leader.name);
+    voters.run(ConsensusTimings.LEADER_LEASE_MILLIS + 100);
+
+    assertThat(leader.node.holdsLeaderLease(voters.now()), is(false));
+    assertThat(voters.awaitLeader(PATIENCE_MILLIS), notNullValue());
+  }
+
+  @Test
+  void handsLeadershipOverWithoutWaitingForATimeout() {
+    FakeVoters voters = new FakeVoters(3, "vm1", "vm2", "vm3");
+    Member leader = voters.awaitLeader(PATIENCE_MILLIS);
+    voters.run(1_000);
+
+    voters.carryOutTransfer(leader);
+    long before = voters.now();
+    Member next = voters.awaitLeader(PATIENCE_MILLIS);
+
+    assertThat(next.name, not(leader.name));
+    assertThat(voters.now() - before < ConsensusTimings.ELECTION_MIN_MILLIS, is(true));
+  }
+
+  @Test
+  void aReplacedDiskDoesNotVoteUntilItIsTakenIn() {
+    FakeVoters voters = new FakeVoters(4, "vm1", "vm2", "vm3");
+    Member leader = voters.awaitLeader(PATIENCE_MILLIS);
+    String lost = leader.name.equals("vm1") ? "vm2" : "vm1";
+    voters.crash(lost);
+    voters.crash(leader.name);
+
+    voters.loseDisk(lost, "new-identity");
+
+    assertThat(voters.awaitLeader(20_000), nullValue());
+  }
+
+  @Test
+  void losesNothingWhenASecondVoterIsLostRightAfterTheRepairOfAFirst() {
+    FakeVoters voters = new FakeVoters(5, "vm1", "vm2", "vm3");
+    Member leader = voters.awaitLeader(PATIENCE_MILLIS);
+    String first = leader.name.equals("vm3") ? "vm2" : "vm3";
+    for (int i = 0; i < 120; i++) {
+      voters.propose(leader, addKey());
+      voters.run(20);
+    }
+    voters.run(1_000);
+
+    voters.loseDisk(first, "second-identity");
+    VoterId repaired = new VoterId(first, "second-identity");
+    long limit = voters.now() + PATIENCE_MILLIS;
+    while (!leader.node.voters().contains(repaired) && voters.now() < limit) {
+      voters.run(50);
+    }
+    voters.run(500);
+    voters.crash(leader.name);
+
+    Member next = voters.awaitLeader(PATIENCE_MILLIS);
+    assertThat(next, notNullValue());
+    voters.run(1_000);
+    assertThat(next.state.history().size(), is(120));
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26})
+  void neverLosesACommittedEntryUnderRandomFaults(long seed) {
+    Random random = new Random(seed);
+    FakeVoters voters = new FakeVoters(seed, "vm1", "vm2", "vm3");
+    List<String> names = List.of("vm1", "vm2", "vm3");
+    for (int round = 0; round < 150; round++) {
+      disturb(voters, names, random);
+      Member leader = voters.awaitLeader(400);
+      if (leader != null) {
+        voters.propose(leader, addKey());
+      }
+      voters.run(random.nextInt(300));
+    }
+    settle(voters, names);
+
+    Member leader = voters.awaitLeader(PATIENCE_MILLIS);
+    assertThat(leader, notNullValue());
+    voters.run(5_000);
+    assertThat(voters.committed().size(), greaterThan(20));
+    List<Long> applied = new ArrayList<>();
+    voters.running().forEach(member -> applied.add(member.applied));
+    assertThat(applied, hasItem((long) voters.committed().size()));
+    for (Member member : voters.running()) {
+      assertThat(member.state, is(leader.state));
+    }
+  }
+
+  private static void disturb(FakeVoters voters, List<String> names, Random random) {
+    String name = names.get(random.nextInt(names.size()));
+    switch (random.nextInt(8)) {
+      case 0 -> voters.crash(name);
+      case 1 -> voters.isolate(name);
+      case 2 -> voters.heal();
+      case 3 -> voters.setLossRate(random.nextDouble() * 0.3);
+      default -> {
+        for (String other : names) {
+          if (!voters.isUp(other)) {
+            voters.restart(other);
+          }
+        }
+      }
+    }
+  }
+
+  private static void settle(FakeVoters voters, List<String> names) {
+    voters.heal();
+    voters.setLossRate(0);
+    for (String name : names) {
+      if (!voters.isUp(name)) {
+        voters.restart(name);
+      }
+    }
+  }
+
+  private ViewCommand addKey() {
+    String id = "k" + keys++;
+    return new ViewCommand.AddKey("add " + id, 0, new ApiKey(id, "nobody", "00", "00"));
+  }
+}
--- /dev/null
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/quota/TokenTests.java
@@ -0,0 +1,161 @@
+package org.cowslipdale.core.quota;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.cowslipdale.core.admission.Admission;
+import org.cowslipdale.core.admission.SlotQueue;
+import org.cowslipdale.core.admission.Ticket;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class TokenTests {
+
+  private static final int VMS = 6;
+
+  /** Runs VMs against one owner with a network delay and returns when requests were admitted. */
+  private static final class Play {
+
+    private final Random random;
+    private final TokenOwner.Limit limit;
+    private final List<TokenStock<Integer>> stocks = new ArrayList<>();
+    private final List<Answer> answers = new ArrayList<>();
+    private final List<Long> admitted = new ArrayList<>();
+    private TokenOwner owner = new TokenOwner(0);
+    private int refused;
+
+    private record Answer(long atMillis, int vm, TokenStock.Ask ask, TokenOwner.Grant grant) {}
+
+    Play(long seed, TokenOwner.Limit limit) {
+      this.random = new Random(seed);
+      this.limit = limit;
+      for (int vm = 0; vm < VMS; vm++) {
+        stocks.add(new TokenStock<>());
+      }
+    }
+
+    void request(int vm, long waitMillis, long now) {
+      Ticket<Integer> ticket = new Ticket<>("acme", now + waitMillis, vm);
+      Admission admission = stocks.get(vm).offer(ticket, limit.ratePerSecond(), limit.burst(), now);
+      if (admission == Admission.DISPATCH) {
+        admitted.add(now);
+      } else if (admission == Admission.REFUSED) {
+        refused++;
+      }
+    }
+
+    void step(long now) {
+      for (int vm = 0; vm < VMS; vm++) {
+        record(stocks.get(vm).advance(now), now);
+        Optional<TokenStock.Ask> ask = stocks.get(vm).poll(now);
+        if (ask.isPresent()) {
+          TokenOwner.Grant grant =
+              owner.issue(
+                  "acme", limit, "vm" + vm, ask.get().unused(), ask.get().wanted(), VMS, now + 10);
+          answers.add(new Answer(now + 20 + random.nextInt(40), vm, ask.get(), grant));
+        }
+      }
+      List<Answer> due = new ArrayList<>(answers);
+      due.removeIf(answer -> answer.atMillis() > now);
+      answers.removeAll(due);
+      for (Answer answer : due) {
+        record(
+            stocks
+                .get(answer.vm())
+                .granted(
+                    answer.grant().tokens(),
+                    answer.grant().retryMillis(),
+                    answer.ask().sentMillis(),
+                    now),
+            now);
+      }
+    }
+
+    private void record(SlotQueue.Progress<Integer> progress, long now) {
+      progress.dispatched().forEach(ticket -> admitted.add(now));
+      refused += progress.expired().size();
+    }
+
+    /** Returns the largest excess over burst plus rate in any window. */
+    double worstExcess() {
+      double worst = Double.NEGATIVE_INFINITY;
+      for (int from = 0; from < admitted.size(); from += 7) {
+        for (int to = from; to < admitted.size(); to += 7) {
+          double allowed =
+              limit.burst()
+                  + (admitted.get(to) - admitted.get(from)) * limit.ratePerSecond() / 1_000;
+          worst = Math.max(worst, to - from + 1 - allowed);
+        }
+      }
+      return worst;
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({"1, 100, 100", "2, 100, 20", "3, 500, 100", "4, 50, 50", "5, 1000, 2000"})
+  void admitsNoMoreThanRateAndBurstInAnyWindow(long seed, double rate, long burst) {
+    Play play = new Play(seed, new TokenOwner.Limit(rate, burst));
+    Random random = new Random(seed);
+    for (long now = 0; now < 10_000; now++) {
+      if (now == 5_000) {
+        play.owner = new TokenOwner(now);
+      }
+      boolean loud = (now / 1_000) % 2 == 0;
+      double perMilli = rate / 1_000 * (loud ? 5 : 0.2);
+      for (double due = perMilli; random.nextDouble() < due; due -= 1) {
+        play.request(random.nextInt(VMS), 200, now);
+      }
+      play.step(now);
+    }
+
+    assertThat(play.worstExcess(), lessThanOrEqualTo(0.0));
+    assertThat((double) play.admitted.size(), greaterThanOrEqualTo(rate * 4));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"1", "6"})
+  void refusesNothingInsideTheRateWhateverVmItComesThrough(int vmsInUse) {
+    Play play = new Play(7, new TokenOwner.Limit(200, 200));
+    Random random = new Random(8);
+    int sent = 0;
+    for (long now = 2_000; now < 22_000; now++) {
+      if (random.nextDouble() < 0.19) {
+        play.request(random.nextInt(vmsInUse), 2_000, now);
+        sent++;
+      }
+      play.step(now);
+    }
+    for (long now = 22_000; now < 25_000; now++) {
+      play.step(now);
+    }
+
+    assertThat(play.refused, is(0));
+    assertThat(play.admitted.size(), is(sent));
+  }
+
+  @Test
+  void aNewOwnerIssuesOnlyWhatTheRateHasYieldedSinceItsElection() {
+    TokenOwner owner = new TokenOwner(1_000);
+    TokenOwner.Limit limit = new TokenOwner.Limit(10, 1_000);
+
+    assertThat(owner.issue("acme", limit, "vm1", 0, 50, 1, 1_000).tokens(), is(0L));
+    assertThat(owner.issue("acme", limit, "vm1", 0, 50, 1, 2_000).tokens(), is(10L));
+  }
+
+  @Test
+  void unusedTokensOnVmsCountAgainstTheBurst() {
+    TokenOwner owner = new TokenOwner(0);
+    TokenOwner.Limit limit = new TokenOwner.Limit(100, 40);
+
+    assertThat(owner.issue("acme", limit, "vm1", 0, 20, 1, 10_000).tokens(), is(20L));
+    assertThat(owner.issue("acme", limit, "vm2", 0, 40, 1, 10_001).tokens(), is(20L));
+    assertThat(owner.issue("acme", limit, "vm1", 20, 40, 1, 10_500).tokens(), is(0L));
+  }
+}
