Test failures with real processes; close idle connections after a lost answer

A lost answer now closes the idle connections of its pool. - A draining VM answered HTTP/2 upgrades with a prohibited header, which cut requests of HTTP/2-capable clients; the daemon now speaks HTTP/1.1 only. - A cut-off VM refused open routes for want of tokens; it now serves its equal share, and says 'cut off' instead of 'rate used up' for customers.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusNode.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusNode.java
@@ -118,6 +118,11 @@
     resetElectionDeadline(now);
   }
 
+  /** Returns this member's name and the identity of its data folder. */
+  public VoterId self() {
+    return self;
+  }
+
   /** Returns the part that this member plays. */
   public Role role() {
     return role;
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/BackendPool.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/BackendPool.java
@@ -78,6 +78,10 @@
 
   @Override
   public void close() {
+    closeIdle();
+  }
+
+  private void closeIdle() {
     for (BackendConnection connection = idle.poll(); connection != null; connection = idle.poll()) {
       connection.close();
     }
@@ -151,9 +155,18 @@
       if (clean && connection.isUsable()) {
         idle.push(connection);
       } else {
-        connection.close();
+        closeWithIdleIfFailed();
       }
       complete(queue.release((double) (now - acquiredAtMillis), now));
     }
+
+    /** What made one connection fail or fall silent has probably met the idle ones too. */
+    private void closeWithIdleIfFailed() {
+      boolean failed = !connection.isUsable();
+      connection.close();
+      if (failed) {
+        closeIdle();
+      }
+    }
   }
 }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetRateLimiter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetRateLimiter.java
@@ -9,6 +9,7 @@
 import org.cowslipdale.core.admission.Admission;
 import org.cowslipdale.core.admission.SlotQueue.Progress;
 import org.cowslipdale.core.admission.Ticket;
+import org.cowslipdale.core.quota.LocalShare;
 import org.cowslipdale.core.quota.TokenOwner;
 import org.cowslipdale.core.quota.TokenStock;
 import org.cowslipdale.core.result.RefusalException;
@@ -22,7 +23,14 @@
 import org.cowslipdale.daemon.version.ViewHolder;
 import org.cowslipdale.daemon.version.VmClock;
 
-/** Limits customers with tokens that the control leader issues for the whole fleet. */
+/**
+ * Limits customers with tokens that the control leader issues for the whole fleet.
+ *
+ * <p>A VM without a lease gets no tokens. It serves no more for customers than the tokens it has,
+ * because a reserve for it would have to be kept from them while nothing is wrong. Open routes have
+ * no customer whose rate could be exceeded; a VM without a lease serves them at its equal share of
+ * their rate.
+ */
 final class FleetRateLimiter implements RateLimiter {
 
   private static final long ANSWER_TIMEOUT_MILLIS = 300;
@@ -32,6 +40,7 @@
   private final VmClock clock;
   private final ConcurrentMap<String, TokenStock<CompletableFuture<Boolean>>> stocks =
       new ConcurrentHashMap<>();
+  private final ConcurrentMap<String, LocalShare> shares = new ConcurrentHashMap<>();
 
   FleetRateLimiter(ControlLink link, ViewHolder views, VmClock clock) {
     this.link = requireNonNull(link, "link");
@@ -42,6 +51,10 @@
   @Override
   public void acquire(String customer, long deadlineMillis) throws RefusalException {
     TokenOwner.Limit limit = limitOf(customer);
+    if (isOpenRoute(customer) && !holdsLease()) {
+      acquireLocally(customer, limit);
+      return;
+    }
     TokenStock<CompletableFuture<Boolean>> stock =
         stocks.computeIfAbsent(customer, name -> new TokenStock<>());
     CompletableFuture<Boolean> granted = new CompletableFuture<>();
@@ -49,10 +62,26 @@
     Admission admission = stock.offer(ticket, limit.ratePerSecond(), limit.burst(), clock.millis());
     askIfDue(customer, stock);
     if (admission == Admission.REFUSED || (admission == Admission.QUEUED && !resultOf(granted))) {
+      throw new RefusalException(holdsLease() ? ResultCode.RATE_EXCEEDED : ResultCode.NO_LEASE);
+    }
+  }
+
+  private void acquireLocally(String route, TokenOwner.Limit limit) throws RefusalException {
+    int vms = Math.max(1, views.get().view().activeVms().size());
+    LocalShare share = shares.computeIfAbsent(route, name -> new LocalShare());
+    if (!share.tryTake(limit.ratePerSecond() / vms, clock.millis())) {
       throw new RefusalException(ResultCode.RATE_EXCEEDED);
     }
   }
 
+  private boolean holdsLease() {
+    return views.get().lease().isValid(clock.millis());
+  }
+
+  private static boolean isOpenRoute(String customer) {
+    return customer.startsWith("open:");
+  }
+
   /** Expires requests that waited too long and asks again where it is due. */
   void tick() {
     stocks.forEach(
@@ -64,7 +93,7 @@
 
   private TokenOwner.Limit limitOf(String customer) throws RefusalException {
     Configuration configuration = views.get().view().configuration();
-    if (customer.startsWith("open:")) {
+    if (isOpenRoute(customer)) {
       OpenRoute route = configuration.openRoutes().get(customer.substring("open:".length()));
       if (route != null) {
         return new TokenOwner.Limit(route.ratePerSecond(), route.burst());
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -278,6 +278,10 @@
 
   private void apply(LogEntry entry) {
     appliedIndex = entry.index();
+    if (entry.payload() instanceof LogEntry.Voters change
+        && change.voters().contains(node.self())) {
+      LOG.info("this VM takes part as a voter, with {}", change.voters().names());
+    }
     if (entry.payload() instanceof LogEntry.Command logged) {
       ControlState.Applied applied = state.apply(logged.command());
       state = applied.state();
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/AdminServer.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/AdminServer.java
@@ -10,6 +10,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.io.IOException;
 import java.security.MessageDigest;
@@ -86,7 +87,10 @@
     this.readiness = requireNonNull(readiness, "readiness");
     this.meters = requireNonNull(meters, "meters");
     this.clock = requireNonNull(clock, "clock");
-    this.server = vertx.createHttpServer().requestHandler(this::receive);
+    this.server =
+        vertx
+            .createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(false))
+            .requestHandler(this::receive);
   }
 
   /** Binds the address and starts to serve. */
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/CallerServer.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/CallerServer.java
@@ -88,6 +88,7 @@
               .setIdleTimeout(IDLE_TIMEOUT_SECONDS)
               .setIdleTimeoutUnit(TimeUnit.SECONDS)
               .setTcpNoDelay(true)
+              .setHttp2ClearTextEnabled(false)
               .setMaxHeaderSize(settings.limits().maxHeaderBytes());
       vertx
           .createHttpServer(options)
--- /dev/null
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/bench/BenchMain.java
@@ -0,0 +1,282 @@
+package org.cowslipdale.testsupport.bench;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vertx.core.http.RequestOptions;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import org.cowslipdale.testsupport.caller.CallerReply;
+import org.cowslipdale.testsupport.caller.CallerSession;
+import org.cowslipdale.testsupport.caller.Operator;
+import org.cowslipdale.testsupport.fleet.Deployment;
+import org.cowslipdale.testsupport.fleet.Fleet;
+
+/** Entry point of the benchmark of real daemons on loopback. */
+public final class BenchMain {
+
+  private static final String DATABASE = "bonds";
+  private static final String CONFIGURATION =
+      """
+      [database bonds]
+      servers = 3
+
+      [class reads]
+      kind = read
+      freshness = bounded
+      max-age = 5 s
+
+      [class writes]
+      kind = write
+      repeatable = yes
+
+      [customer acme]
+      rate = 1000000
+      burst = 1000000
+      databases = bonds
+      """;
+
+  private final HttpClient client = HttpClient.newHttpClient();
+  private final BenchOptions options;
+
+  private BenchMain(BenchOptions options) {
+    this.options = options;
+  }
+
+  /**
+   * Runs one benchmark.
+   *
+   * @param args see {@code --help}
+   */
+  public static void main(String[] args) throws IOException {
+    BenchOptions options = new BenchOptions();
+    JCommander commander = JCommander.newBuilder().programName("bench").addObject(options).build();
+    try {
+      commander.parse(args);
+    } catch (ParameterException e) {
+      System.err.println("bench: " + e.getMessage());
+      System.exit(2);
+    }
+    if (options.help || options.names.size() != 1) {
+      commander.usage();
+      System.exit(options.help ? 0 : 2);
+    }
+    BenchMain bench = new BenchMain(options);
+    switch (options.names.getFirst()) {
+      case "latency" -> bench.latency();
+      case "throughput" -> bench.throughput();
+      case "control" -> bench.control();
+      case "failover" -> bench.failover();
+      default -> {
+        commander.usage();
+        System.exit(2);
+      }
+    }
+  }
+
+  /** Compares reads through one daemon with reads sent to the stand-in directly. */
+  private void latency() throws IOException {
+    try (Fleet fleet = start(Deployment.threeDomains(1, List.of(DATABASE), List.of()));
+        LoadGenerator load = new LoadGenerator(16)) {
+      RequestOptions proxied = proxied(fleet, key(fleet));
+      RequestOptions direct =
+          new RequestOptions()
+              .setAbsoluteURI("http://" + fleet.server("bonds-1").address() + "/statement");
+      String call =
+          """
+          {"call":"b","term":1,"asPrimary":false,"minOffset":0,"waitMillis":0,\
+          "maxAgeMillis":5000,"write":false,"statement":"get a"}\
+          """;
+      String statement = "{\"statement\":\"get a\"}";
+      load.run(proxied, statement, 500, 5);
+      load.run(direct, call, 500, 5);
+      System.out.println("200 reads/s, open loop, microseconds");
+      print("direct", load.run(direct, call, 200, options.seconds));
+      print("proxied", load.run(proxied, statement, 200, options.seconds));
+      print("direct", load.run(direct, call, 200, options.seconds));
+      print("proxied", load.run(proxied, statement, 200, options.seconds));
+    }
+  }
+
+  /** Offers reads to one daemon at growing rates. */
+  private void throughput() throws IOException {
+    Deployment deployment =
+        Deployment.threeDomains(1, List.of(DATABASE), List.of("--connection-limit", "120"));
+    try (Fleet fleet = start(deployment);
+        LoadGenerator load = new LoadGenerator(64)) {
+      RequestOptions proxied = proxied(fleet, key(fleet));
+      String statement = "{\"statement\":\"get a\"}";
+      load.run(proxied, statement, 3_000, 10);
+      long pid = fleet.vm("vm1").process().pid();
+      for (int rate : options.rates) {
+        ProcessStats before = ProcessStats.of(pid);
+        LoadGenerator.Result result = load.run(proxied, statement, rate, options.seconds);
+        ProcessStats after = ProcessStats.of(pid);
+        double cores = (after.cpuMillis() - before.cpuMillis()) / (1_000.0 * options.seconds);
+        System.out.printf(
+            "offered %6d/s, daemon used %.2f cores, %d MiB resident%n",
+            rate, cores, after.residentBytes() >> 20);
+        print("proxied", result);
+      }
+    }
+  }
+
+  /** Measures what VMs at rest send to each other, use and keep, at four fleet sizes. */
+  private void control() throws IOException {
+    System.out.println(
+        "VMs   sent/VM     sent by leader   CPU/VM      CPU of leader   resident/VM");
+    for (int perDomain = 1; perDomain <= 4; perDomain++) {
+      try (Fleet fleet = start(Deployment.threeDomains(perDomain, List.of(DATABASE), List.of()))) {
+        pause(8_000);
+        String leader = operator(fleet).status().path("leader").asText();
+        List<Sample> before = samples(fleet);
+        pause(options.seconds * 1_000L);
+        printControl(leader, before, samples(fleet));
+      }
+    }
+  }
+
+  private record Sample(String vm, double sentBytes, ProcessStats stats) {}
+
+  private List<Sample> samples(Fleet fleet) throws IOException {
+    List<Sample> samples = new ArrayList<>();
+    for (Fleet.Vm vm : fleet.vms()) {
+      samples.add(
+          new Sample(
+              vm.spec().name(),
+              metric(vm, "cowslipdale_peer_sent_bytes"),
+              ProcessStats.of(vm.process().pid())));
+    }
+    return samples;
+  }
+
+  private void printControl(String leader, List<Sample> before, List<Sample> after) {
+    double sent = 0;
+    double sentByLeader = 0;
+    double cpu = 0;
+    double cpuOfLeader = 0;
+    double resident = 0;
+    for (int i = 0; i < before.size(); i++) {
+      double bytes = (after.get(i).sentBytes() - before.get(i).sentBytes()) / options.seconds;
+      double share =
+          (after.get(i).stats().cpuMillis() - before.get(i).stats().cpuMillis())
+              / (10.0 * options.seconds);
+      sent += bytes;
+      cpu += share;
+      resident += after.get(i).stats().residentBytes() / (double) (1 << 20);
+      if (before.get(i).vm().equals(leader)) {
+        sentByLeader = bytes;
+        cpuOfLeader = share;
+      }
+    }
+    int vms = before.size();
+    System.out.printf(
+        "%3d   %6.0f B/s   %6.0f B/s        %5.2f %%     %5.2f %%         %4.0f MiB%n",
+        vms, sent / vms, sentByLeader, cpu / vms, cpuOfLeader, resident / vms);
+  }
+
+  /** Kills the primary again and again and measures the gap that a writer sees. */
+  private void failover() throws IOException {
+    try (Fleet fleet = start(Deployment.threeDomains(2, List.of(DATABASE), List.of()))) {
+      CallerSession session = new CallerSession(client, key(fleet));
+      List<Long> gaps = new ArrayList<>();
+      for (int round = 0; round < options.rounds; round++) {
+        String old = operator(fleet).awaitPrimary(DATABASE, "");
+        write(fleet, session);
+        fleet.server(old).process().kill();
+        long started = System.nanoTime();
+        while (!write(fleet, session).isDone()) {
+          pause(5);
+        }
+        gaps.add((System.nanoTime() - started) / 1_000_000);
+        fleet.server(old).process().start();
+        pause(5_000);
+      }
+      gaps.sort(null);
+      System.out.printf(
+          "%d failovers: median %d ms, worst %d ms, all %s%n",
+          gaps.size(), gaps.get(gaps.size() / 2), gaps.getLast(), gaps);
+    }
+  }
+
+  private static CallerReply write(Fleet fleet, CallerSession session) {
+    return session.run(fleet.vm("vm1").callers(), DATABASE, "writes", "put gap 1");
+  }
+
+  private Fleet start(Deployment deployment) throws IOException {
+    Path root = Fleet.repositoryRoot().toAbsolutePath();
+    Path folder = Files.createTempDirectory(Files.createDirectories(root.resolve("run")), "bench");
+    Fleet fleet = new Fleet(root, folder, deployment, "[observability]\ntrace-ratio = 0\n");
+    try {
+      fleet.start();
+      JsonNode applied = operator(fleet).apply(CONFIGURATION, 0, UUID.randomUUID().toString());
+      operator(fleet).awaitInForce(applied.path("version").asLong(), "view");
+      operator(fleet).awaitPrimary(DATABASE, "");
+      return fleet;
+    } catch (IOException e) {
+      fleet.close();
+      throw e;
+    }
+  }
+
+  private String key(Fleet fleet) throws IOException {
+    return operator(fleet).addKey("acme");
+  }
+
+  private Operator operator(Fleet fleet) {
+    return new Operator(client, fleet.vm("vm1").admin(), Fleet.ADMIN_TOKEN);
+  }
+
+  private static RequestOptions proxied(Fleet fleet, String key) {
+    return new RequestOptions()
+        .setAbsoluteURI(
+            "http://%s/v1/databases/bonds/classes/reads/statements"
+                .formatted(fleet.vm("vm1").callers()))
+        .putHeader("Authorization", "Bearer " + key);
+  }
+
+  private double metric(Fleet.Vm vm, String name) throws IOException {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + vm.admin() + "/metrics")).build();
+    try {
+      String text = client.send(request, BodyHandlers.ofString()).body();
+      return text.lines()
+          .filter(line -> line.startsWith(name + " "))
+          .mapToDouble(line -> Double.parseDouble(line.substring(name.length() + 1)))
+          .findFirst()
+          .orElse(0);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return 0;
+    }
+  }
+
+  private static void print(String name, LoadGenerator.Result result) {
+    System.out.printf(
+        "  %-8s p50 %6d  p90 %6d  p99 %6d  max %7d   ok %d  failed %d%s%n",
+        name,
+        result.latency().getValueAtPercentile(50),
+        result.latency().getValueAtPercentile(90),
+        result.latency().getValueAtPercentile(99),
+        result.latency().getMaxValue(),
+        result.ok(),
+        result.failed(),
+        result.keptUp() ? "" : "   (the generator fell behind; the figures do not count)");
+  }
+
+  private static void pause(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/bench/BenchOptions.java
@@ -0,0 +1,24 @@
+package org.cowslipdale.testsupport.bench;
+
+import com.beust.jcommander.Parameter;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Command-line options of the benchmark. */
+final class BenchOptions {
+
+  @Parameter(description = "latency | throughput | control | failover")
+  List<String> names = new ArrayList<>();
+
+  @Parameter(names = "--rounds", description = "Failovers to run")
+  int rounds = 5;
+
+  @Parameter(names = "--rates", description = "Rates to offer, requests a second")
+  List<Integer> rates = List.of(2_000, 5_000, 10_000, 15_000);
+
+  @Parameter(names = "--seconds", description = "Duration of a run")
+  int seconds = 8;
+
+  @Parameter(names = "--help", help = true, description = "Print this help and exit")
+  boolean help;
+}
--- /dev/null
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/bench/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * Measures latency, throughput, memory and control traffic of real daemons.
+ *
+ * <p>Nothing in this package accepts or returns {@code null} unless it is marked {@code @Nullable}.
+ */
+@NullMarked
+package org.cowslipdale.testsupport.bench;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/capacity/CapacityMain.java
@@ -0,0 +1,362 @@
+package org.cowslipdale.testsupport.capacity;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.UUID;
+import java.util.function.IntFunction;
+import java.util.function.ToDoubleFunction;
+import org.cowslipdale.config.codec.Codecs;
+import org.cowslipdale.core.backend.Announcement;
+import org.cowslipdale.core.backend.BackendRegistry;
+import org.cowslipdale.core.backend.ServerRole;
+import org.cowslipdale.core.claim.ClaimTable;
+import org.cowslipdale.core.claim.RequestId;
+import org.cowslipdale.core.control.LeaseTable;
+import org.cowslipdale.core.failover.FailoverCoordinator;
+import org.cowslipdale.core.failover.ProbeAssignment;
+import org.cowslipdale.core.placement.Placement;
+import org.cowslipdale.core.quota.TokenOwner;
+import org.cowslipdale.core.session.LogPosition;
+import org.cowslipdale.core.view.ApiKey;
+import org.cowslipdale.core.view.Configuration;
+import org.cowslipdale.core.view.Customer;
+import org.cowslipdale.core.view.Database;
+import org.cowslipdale.core.view.DatabaseState;
+import org.cowslipdale.core.view.DatabaseState.TermStart;
+import org.cowslipdale.core.view.View;
+import org.cowslipdale.core.view.ViewCommand;
+import org.cowslipdale.core.view.VmRecord;
+import org.cowslipdale.testsupport.capacity.Slope.Point;
+
+/** Prints how the state and the work of the decision core grow, measured at four sizes each. */
+public final class CapacityMain {
+
+  private static final ObjectMapper CODEC = Codecs.compactMessagePack();
+  private static final long NOW = 1_000_000;
+  private static final int VMS_AT_FULL_SIZE = 5_500;
+  private static final int DATABASES_AT_FULL_SIZE = 8_200;
+  private static final int SERVERS_PER_DATABASE = 3;
+  private static final int FAILURE_DOMAINS = 5;
+
+  private CapacityMain() {}
+
+  /** What is measured: a state of a given size and its cost. */
+  private record Measurement<T>(
+      String name,
+      String unit,
+      List<Integer> sizes,
+      int fullSize,
+      IntFunction<T> build,
+      ToDoubleFunction<T> cost) {}
+
+  /**
+   * Runs all measurements.
+   *
+   * @param args not used
+   */
+  public static void main(String[] args) {
+    List<Integer> databases = List.of(1_000, 2_000, 4_000, 8_200);
+    List<Integer> vms = List.of(700, 1_400, 2_800, 5_500);
+    List<Integer> many = List.of(10_000, 20_000, 40_000, 80_000);
+    System.out.printf(
+        "%-44s %-8s %10s %10s %10s %10s %12s %12s%n",
+        "measured", "unit", "size 1", "size 2", "size 3", "size 4", "per unit", "at full size");
+    int full = DATABASES_AT_FULL_SIZE;
+    run(
+        "view: message, per database",
+        "bytes",
+        databases,
+        full,
+        CapacityMain::databases,
+        CapacityMain::encodedBytes);
+    run(
+        "view: heap, per database",
+        "bytes",
+        databases,
+        full,
+        CapacityMain::databases,
+        CapacityMain::heapBytes);
+    run(
+        "view: message, per VM",
+        "bytes",
+        vms,
+        VMS_AT_FULL_SIZE,
+        CapacityMain::vms,
+        CapacityMain::encodedBytes);
+    run(
+        "view: message, per key",
+        "bytes",
+        many,
+        80_000,
+        CapacityMain::keys,
+        CapacityMain::encodedBytes);
+    run("view: heap, per key", "bytes", many, 80_000, CapacityMain::keys, CapacityMain::heapBytes);
+    run(
+        "view: apply one change of primary",
+        "us",
+        databases,
+        full,
+        CapacityMain::databases,
+        CapacityMain::applyMicros);
+    run(
+        "placement: choose among VMs",
+        "us",
+        vms,
+        VMS_AT_FULL_SIZE,
+        CapacityMain::vms,
+        CapacityMain::placementMicros);
+    run(
+        "probes: find the assigned databases, per VM",
+        "us",
+        vms,
+        VMS_AT_FULL_SIZE,
+        CapacityMain::vms,
+        CapacityMain::assignmentMicros);
+    run(
+        "leader: is a version in force, per VM",
+        "us",
+        vms,
+        VMS_AT_FULL_SIZE,
+        CapacityMain::leases,
+        CapacityMain::inForceMicros);
+    run(
+        "leader: failover tick, per database",
+        "us",
+        databases,
+        full,
+        CapacityMain::coordinated,
+        CapacityMain::failoverMicros);
+    run(
+        "leader: issue tokens, per customer",
+        "us",
+        many,
+        80_000,
+        CapacityMain::owner,
+        CapacityMain::issueMicros);
+    run(
+        "announcements: heap, per database followed",
+        "bytes",
+        databases,
+        full,
+        CapacityMain::registry,
+        CapacityMain::registryHeapBytes);
+    run(
+        "claims: heap, per claim",
+        "bytes",
+        many,
+        80_000,
+        CapacityMain::claims,
+        CapacityMain::claimHeapBytes);
+  }
+
+  private static <T> void run(
+      String name,
+      String unit,
+      List<Integer> sizes,
+      int fullSize,
+      IntFunction<T> build,
+      ToDoubleFunction<T> cost) {
+    print(new Measurement<>(name, unit, sizes, fullSize, build, cost));
+  }
+
+  private static <T> void print(Measurement<T> measurement) {
+    List<Point> points = new ArrayList<>();
+    StringBuilder row = new StringBuilder();
+    row.append("%-44s %-8s".formatted(measurement.name(), measurement.unit()));
+    for (int size : measurement.sizes()) {
+      T state = measurement.build().apply(size);
+      double value = measurement.cost().applyAsDouble(state);
+      points.add(new Point(size, value));
+      row.append(" %10.0f".formatted(value));
+    }
+    Slope slope = Slope.through(points);
+    row.append(" %12.4f %12.0f".formatted(slope.perUnit(), slope.at(measurement.fullSize())));
+    System.out.println(row);
+  }
+
+  private static View databases(int count) {
+    Map<String, Database> declared = new HashMap<>();
+    Map<String, DatabaseState> states = new HashMap<>();
+    for (int i = 0; i < count; i++) {
+      String name = "database-" + i;
+      declared.put(name, new Database(name, SERVERS_PER_DATABASE));
+      List<TermStart> starts = List.of(new TermStart(1, 0), new TermStart(2, 1_000L * i));
+      states.put(name, new DatabaseState(2, name + "-1", starts));
+    }
+    Configuration configuration = new Configuration(Map.of(), Map.of(), Map.of(), declared);
+    return new View(1, 1, configuration, Map.of(), states, tenVms());
+  }
+
+  private static View vms(int count) {
+    Map<String, VmRecord> records = new HashMap<>();
+    for (int i = 0; i < count; i++) {
+      String name = "vm" + i;
+      records.put(name, vm(name, i));
+    }
+    Configuration configuration =
+        new Configuration(Map.of(), Map.of(), Map.of(), Map.of("bonds", new Database("bonds", 3)));
+    return new View(1, 1, configuration, Map.of(), Map.of(), records);
+  }
+
+  private static View keys(int count) {
+    Map<String, ApiKey> keys = new HashMap<>();
+    for (int i = 0; i < count; i++) {
+      String id = "%012x".formatted(i);
+      String digest = "%064x".formatted(i);
+      keys.put(id, new ApiKey(id, "customer-" + i % 1_000, digest.substring(32), digest));
+    }
+    Customer customer = new Customer("customer-0", 1, 1, Set.of());
+    Configuration configuration =
+        new Configuration(Map.of(), Map.of("customer-0", customer), Map.of(), Map.of());
+    return new View(1, 1, configuration, keys, Map.of(), Map.of());
+  }
+
+  private static Map<String, VmRecord> tenVms() {
+    Map<String, VmRecord> records = new HashMap<>();
+    for (int i = 0; i < 10; i++) {
+      records.put("vm" + i, vm("vm" + i, i));
+    }
+    return records;
+  }
+
+  private static VmRecord vm(String name, int number) {
+    int domain = number % FAILURE_DOMAINS;
+    return new VmRecord(
+        name, "domain-" + domain, "region-" + domain % 2, "10.0.0.1:7000", 0, Long.MAX_VALUE, true);
+  }
+
+  private static double encodedBytes(View view) {
+    try {
+      return CODEC.writeValueAsBytes(view).length;
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("views can be encoded", e);
+    }
+  }
+
+  /** Returns the heap of a decoded copy, which shares nothing with the original. */
+  private static double heapBytes(View view) {
+    try {
+      byte[] encoded = CODEC.writeValueAsBytes(view);
+      return Measure.heapBytes(
+          () -> {
+            try {
+              return CODEC.readValue(encoded, View.class);
+            } catch (IOException e) {
+              throw new UncheckedIOException(e);
+            }
+          });
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("views can be encoded", e);
+    }
+  }
+
+  private static double applyMicros(View view) {
+    return Measure.micros(() -> view.apply(new ViewCommand.BeginTerm("database-0", 3)));
+  }
+
+  private static double placementMicros(View view) {
+    List<VmRecord> active = view.activeVms();
+    return Measure.micros(() -> Placement.choose("key", active, 3));
+  }
+
+  private static double assignmentMicros(View view) {
+    return Measure.micros(() -> ProbeAssignment.probers(view, "bonds"));
+  }
+
+  private record Leases(View view, LeaseTable table) {}
+
+  private static Leases leases(int count) {
+    View view = vms(count);
+    LeaseTable table = new LeaseTable(NOW);
+    view.vms().keySet().forEach(name -> table.grant(name, 1, NOW));
+    return new Leases(view, table);
+  }
+
+  private static double inForceMicros(Leases leases) {
+    return Measure.micros(() -> leases.table().waitingFor(1, leases.view(), 0, NOW + 1));
+  }
+
+  private record Coordinated(View view, BackendRegistry registry, FailoverCoordinator failover) {}
+
+  private static Coordinated coordinated(int count) {
+    View view = databases(count);
+    return new Coordinated(view, registry(count), new FailoverCoordinator());
+  }
+
+  private static double failoverMicros(Coordinated state) {
+    Set<String> holders = new HashSet<>(state.view().vms().keySet());
+    return Measure.micros(
+        () -> state.failover().tick(state.view(), state.registry(), holders, version -> true, NOW));
+  }
+
+  private static TokenOwner owner(int count) {
+    TokenOwner owner = new TokenOwner(0);
+    TokenOwner.Limit limit = new TokenOwner.Limit(100, 100);
+    for (int i = 0; i < count; i++) {
+      owner.issue("customer-" + i, limit, "vm1", 0, 1, 6, NOW);
+    }
+    return owner;
+  }
+
+  private static double issueMicros(TokenOwner owner) {
+    TokenOwner.Limit limit = new TokenOwner.Limit(1_000_000, 1_000_000);
+    return Measure.micros(() -> owner.issue("customer-7", limit, "vm2", 0, 10, 6, NOW));
+  }
+
+  private static BackendRegistry registry(int count) {
+    BackendRegistry registry = new BackendRegistry();
+    for (int i = 0; i < count; i++) {
+      for (int server = 1; server <= SERVERS_PER_DATABASE; server++) {
+        registry.announce(announcement(i, server), 0, NOW);
+      }
+    }
+    return registry;
+  }
+
+  private static Announcement announcement(int database, int server) {
+    String name = "database-" + database;
+    return new Announcement(
+        name,
+        name + "-" + server,
+        "10.0.0." + server + ":9000",
+        "domain-" + server,
+        "region-" + server % 2,
+        server == 1 ? ServerRole.PRIMARY : ServerRole.REPLICA,
+        new LogPosition(2, 1_000_000),
+        10,
+        5,
+        30,
+        false,
+        1,
+        1);
+  }
+
+  private static double registryHeapBytes(BackendRegistry registry) {
+    int count = registry.databases().size();
+    return Measure.heapBytes(() -> registry(count));
+  }
+
+  private static ClaimTable claims(int count) {
+    ClaimTable table = new ClaimTable(0);
+    for (int i = 0; i < count; i++) {
+      String id = new UUID((NOW + i) << 16 | 0x7000L, Long.MIN_VALUE + i).toString();
+      RequestId request = RequestId.parse(id).orElseThrow();
+      String attempt = new UUID(i, i).toString();
+      table.claim("customer-" + i % 100, request, attempt, NOW + count);
+    }
+    return table;
+  }
+
+  private static double claimHeapBytes(ClaimTable table) {
+    int count = table.size();
+    return Measure.heapBytes(() -> claims(count));
+  }
+}
--- a/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/database/StandInServer.java
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/database/StandInServer.java
@@ -126,7 +126,7 @@
   private void start() {
     String[] address = options.listen.split(":", 2);
     vertx
-        .createHttpServer(new HttpServerOptions().setIdleTimeout(0))
+        .createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(false))
         .connectionHandler(this::connected)
         .requestHandler(this::handle)
         .listen(Integer.parseInt(address[1]), address[0])
--- a/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/fleet/Ports.java
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/fleet/Ports.java
@@ -4,34 +4,42 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 
-/** Finds free ports on loopback. */
+/**
+ * Finds free ports on loopback, below the range from which the system takes ports for outgoing
+ * connections, so that none is taken between the search and its use.
+ */
 final class Ports {
 
-  private static final Set<Integer> TAKEN = new HashSet<>();
+  private static final int FIRST = 10_000;
+  private static final int LAST = 32_000;
+
+  private static int next = ThreadLocalRandom.current().nextInt(FIRST, LAST);
 
   private Ports() {}
 
   /** Returns addresses with ports that nothing listens on and no earlier call returned. */
   static synchronized List<String> free(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
     List<String> addresses = new ArrayList<>();
-    try {
-      while (addresses.size() < count) {
-        ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        sockets.add(socket);
-        if (TAKEN.add(socket.getLocalPort())) {
-          addresses.add("127.0.0.1:" + socket.getLocalPort());
-        }
+    for (int tries = 0; addresses.size() < count; tries++) {
+      if (tries > LAST - FIRST) {
+        throw new IOException("no free ports between " + FIRST + " and " + LAST);
       }
-      return addresses;
-    } finally {
-      for (ServerSocket socket : sockets) {
-        socket.close();
+      next = next >= LAST ? FIRST : next + 1;
+      if (isFree(next)) {
+        addresses.add("127.0.0.1:" + next);
       }
     }
+    return addresses;
+  }
+
+  private static boolean isFree(int port) {
+    try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+      return socket.isBound();
+    } catch (IOException e) {
+      return false;
+    }
   }
 }
--- /dev/null
+++ b/cowslipdale-testsupport/src/test/java/org/cowslipdale/testsupport/KeyTests.java
@@ -0,0 +1,103 @@
+package org.cowslipdale.testsupport;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.cowslipdale.testsupport.caller.CallerReply;
+import org.cowslipdale.testsupport.caller.CallerSession;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class KeyTests {
+
+  private static final long IN_FORCE_LIMIT_MILLIS = 9_000;
+
+  @TempDir Path folder;
+
+  @Test
+  void aWithdrawnKeyStopsWorkingOnAVmThatIsCutOff() throws IOException {
+    try (TestFleet fleet = TestFleet.start(folder)) {
+      String key = fleet.operator(1).addKey("acme");
+      CallerSession session = new CallerSession(fleet.client(), key);
+      int cut = cutOff(fleet);
+      int other = cut == 1 ? 2 : 1;
+      assertThat(session.run(fleet.callers(cut), "bonds", "any", "get x").isDone(), is(true));
+
+      fleet.fleet().network().isolate(fleet.fleet().vm("vm" + cut).spec().failureDomain());
+      long started = System.nanoTime();
+      JsonNode withdrawn = fleet.operator(other).withdrawKey(key);
+      fleet.operator(other).awaitInForce(withdrawn.path("version").asLong(), "keys");
+      long millis = (System.nanoTime() - started) / 1_000_000;
+
+      CallerReply reply = session.run(fleet.callers(cut), "bonds", "any", "get x");
+      assertThat(reply.toString(), reply.isDone(), is(false));
+      assertThat(millis, lessThanOrEqualTo(IN_FORCE_LIMIT_MILLIS));
+      CallerReply open = new CallerSession(fleet.client(), null).open(fleet.callers(cut), "notice");
+      assertThat(open.toString(), open.isDone(), is(true));
+    }
+  }
+
+  @Test
+  void noBackendServerAndNoLogEverHoldsAKey() throws IOException {
+    try (TestFleet fleet = TestFleet.start(folder)) {
+      String secret = fleet.key().split("_", -1)[2];
+      CallerSession session = fleet.session();
+      String begun =
+          session
+              .begin(fleet.callers(1), "bonds", "plain-saves")
+              .body()
+              .path("transaction")
+              .asText();
+      session.inTransaction(fleet.callers(2), begun, "put a 1");
+      session.end(fleet.callers(3), begun, "commit");
+      session.run(fleet.callers(3), "bonds", "own", "get a");
+      new CallerSession(fleet.client(), fleet.key() + "x")
+          .run(fleet.callers(1), "bonds", "own", "get a");
+      int runs = 0;
+      for (String server : List.of("bonds-1", "bonds-2", "bonds-3")) {
+        runs += fleet.runs(server).size();
+      }
+
+      assertThat(runs, greaterThan(3));
+      try (Stream<Path> files = Files.walk(folder)) {
+        for (Path file : files.filter(Files::isRegularFile).toList()) {
+          assertThat(file + " holds the key", holds(file, secret), is(false));
+        }
+      }
+    }
+  }
+
+  @Test
+  void aCustomerCannotUseAnothersTransactionSessionOrDatabase() throws IOException {
+    try (TestFleet fleet = TestFleet.start(folder)) {
+      CallerSession small = new CallerSession(fleet.client(), fleet.operator(1).addKey("small"));
+      CallerSession acme = fleet.session();
+      String begun =
+          acme.begin(fleet.callers(1), "bonds", "plain-saves").body().path("transaction").asText();
+
+      assertThat(small.inTransaction(fleet.callers(1), begun, "put a 1").code(), is(1010));
+      assertThat(small.inTransaction(fleet.callers(2), begun, "put a 1").code(), is(1010));
+      assertThat(small.end(fleet.callers(3), begun, "commit").code(), is(1010));
+      assertThat(small.run(fleet.callers(1), "grants", "own", "get a").code(), is(1004));
+      assertThat(fleet.timesRun("put a 1"), is(0L));
+    }
+  }
+
+  /** Returns a VM that does not lead the control log. */
+  private static int cutOff(TestFleet fleet) throws IOException {
+    return fleet.operator(1).status().path("leader").asText().equals("vm3") ? 2 : 3;
+  }
+
+  private static boolean holds(Path file, String secret) throws IOException {
+    return new String(Files.readAllBytes(file), ISO_8859_1).contains(secret);
+  }
+}
--- /dev/null
+++ b/cowslipdale-testsupport/src/test/java/org/cowslipdale/testsupport/TestFleet.java
@@ -0,0 +1,261 @@
+package org.cowslipdale.testsupport;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.UUID;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.cowslipdale.testsupport.caller.CallerReply;
+import org.cowslipdale.testsupport.caller.CallerSession;
+import org.cowslipdale.testsupport.caller.Operator;
+import org.cowslipdale.testsupport.fleet.Deployment;
+import org.cowslipdale.testsupport.fleet.Fleet;
+
+/** A fleet with the configuration that the integration tests use, and what judges it. */
+final class TestFleet implements AutoCloseable {
+
+  static final String DATABASE = "bonds";
+
+  static final String CONFIGURATION =
+      """
+      [database bonds]
+      servers = 3
+
+      [class saves]
+      kind = write
+      repeatable = no
+
+      [class safe-saves]
+      kind = write
+      repeatable = no
+      acknowledgement = replicated
+      wait-limit = 1 s
+
+      [class plain-saves]
+      kind = write
+      repeatable = yes
+      wait-limit = 1 s
+
+      [class own]
+      kind = read
+      freshness = session
+
+      [class recent]
+      kind = read
+      freshness = bounded
+      max-age = 6 s
+      wait-limit = 500 ms
+
+      [class latest]
+      kind = read
+      freshness = latest
+
+      [class any]
+      kind = read
+      freshness = any
+
+      [customer acme]
+      rate = 5000
+      burst = 5000
+      databases = bonds
+
+      [customer small]
+      rate = 50
+      burst = 20
+      databases = bonds
+
+      [open-route notice]
+      database = bonds
+      class = any
+      statement = get notice
+      rate = 100
+      burst = 100
+      """;
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final Fleet fleet;
+  private final HttpClient client = HttpClient.newHttpClient();
+  private final String key;
+
+  private TestFleet(Fleet fleet) throws IOException {
+    this.fleet = fleet;
+    fleet.start();
+    JsonNode applied = operator(1).apply(CONFIGURATION, 0, UUID.randomUUID().toString());
+    operator(1).awaitInForce(applied.path("version").asLong(), "view");
+    operator(1).awaitPrimary(DATABASE, "");
+    this.key = operator(1).addKey("acme");
+  }
+
+  /** Starts one VM and one server in each of three failure domains. */
+  static TestFleet start(Path folder, String... serverOptions) throws IOException {
+    return start(folder, 1, serverOptions);
+  }
+
+  static TestFleet start(Path folder, int vmsPerDomain, String... serverOptions)
+      throws IOException {
+    List<String> options = new ArrayList<>(List.of("--connect-millis", "1"));
+    options.addAll(List.of(serverOptions));
+    Deployment deployment = Deployment.threeDomains(vmsPerDomain, List.of(DATABASE), options);
+    String extra =
+        """
+        [limits]
+        drain-wait = 1 s
+        transaction = 10 s
+        """;
+    Fleet fleet = new Fleet(Fleet.repositoryRoot(), folder, deployment, extra);
+    try {
+      return new TestFleet(fleet);
+    } catch (IOException e) {
+      fleet.close();
+      throw e;
+    }
+  }
+
+  Fleet fleet() {
+    return fleet;
+  }
+
+  HttpClient client() {
+    return client;
+  }
+
+  String key() {
+    return key;
+  }
+
+  CallerSession session() {
+    return new CallerSession(client, key);
+  }
+
+  Operator operator(int vm) {
+    return new Operator(client, fleet.vm("vm" + vm).admin(), Fleet.ADMIN_TOKEN);
+  }
+
+  String callers(int vm) {
+    return fleet.vm("vm" + vm).callers();
+  }
+
+  /** Returns the number of the VM that runs in the failure domain of a server. */
+  int vmBeside(String server) {
+    String domain = fleet.server(server).spec().failureDomain();
+    for (Fleet.Vm vm : fleet.vms()) {
+      if (vm.spec().failureDomain().equals(domain)) {
+        return Integer.parseInt(vm.spec().name().substring(2));
+      }
+    }
+    throw new IllegalStateException("every domain has a VM");
+  }
+
+  /** Returns the VMs of the other failure domains. */
+  List<Integer> vmsApartFrom(int vm) {
+    String domain = fleet.vm("vm" + vm).spec().failureDomain();
+    List<Integer> others = new ArrayList<>();
+    for (Fleet.Vm other : fleet.vms()) {
+      if (!other.spec().failureDomain().equals(domain)) {
+        others.add(Integer.parseInt(other.spec().name().substring(2)));
+      }
+    }
+    return others;
+  }
+
+  /** Changes the faults of a server; the text is a JSON object. */
+  void setFaults(String server, String faults) throws IOException {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + fleet.server(server).address() + "/faults"))
+            .POST(BodyPublishers.ofString(faults))
+            .build();
+    try {
+      client.send(request, BodyHandlers.discarding());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Returns everything that a server was asked so far. */
+  List<JsonNode> runs(String server) throws IOException {
+    Path log = fleet.server(server).runLog();
+    List<JsonNode> runs = new ArrayList<>();
+    if (Files.exists(log)) {
+      for (String line : Files.readAllLines(log)) {
+        if (line.endsWith("}")) {
+          runs.add(JSON.readTree(line));
+        }
+      }
+    }
+    return runs;
+  }
+
+  /** Returns how often a statement ran on any server. */
+  long timesRun(String statement) throws IOException {
+    long count = 0;
+    for (Fleet.Server server : fleet.servers()) {
+      for (JsonNode run : runs(server.spec().name())) {
+        boolean same = run.path("statement").asText().equals(statement);
+        count += same && run.path("effect").asText().equals("ran") ? 1 : 0;
+      }
+    }
+    return count;
+  }
+
+  /** Returns the statements that any server ran. */
+  Set<String> statementsRun() throws IOException {
+    Set<String> statements = new HashSet<>();
+    for (Fleet.Server server : fleet.servers()) {
+      for (JsonNode run : runs(server.spec().name())) {
+        if (run.path("effect").asText().equals("ran")) {
+          statements.add(run.path("statement").asText());
+        }
+      }
+    }
+    return statements;
+  }
+
+  /** Repeats a request until it is acknowledged; returns the last reply. */
+  CallerReply untilDone(Duration limit, Supplier<CallerReply> request) {
+    long end = System.nanoTime() + limit.toNanos();
+    CallerReply reply = request.get();
+    while (!reply.isDone() && System.nanoTime() < end) {
+      reply = request.get();
+    }
+    return reply;
+  }
+
+  static boolean await(Duration limit, BooleanSupplier condition) {
+    long end = System.nanoTime() + limit.toNanos();
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        return false;
+      }
+      pause(20);
+    }
+    return true;
+  }
+
+  static void pause(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @Override
+  public void close() {
+    fleet.close();
+    client.close();
+  }
+}
