Run a backend exchange on one event loop, so that no answer is lost

Cause: calls were composed on the caller's virtual thread; when the response came before the next step was attached, its body had no handler yet and the answer never arrived. The call then waited for its run limit (5 s) and counted as lost. Ruled out: queueing in the stand-in, silent connections (loopback without faults).

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/HttpDatabaseConnector.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/HttpDatabaseConnector.java
@@ -1,7 +1,9 @@
 package org.cowslipdale.daemon.connection;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientAgent;
@@ -18,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import org.cowslipdale.config.codec.Codecs;
 import org.cowslipdale.config.protocol.BackendAnswer;
@@ -30,6 +33,7 @@
 
   private static final ObjectMapper JSON = Codecs.json();
 
+  private final Vertx vertx;
   private final HttpClientAgent client;
   private final UnaryOperator<String> reachable;
 
@@ -40,6 +44,7 @@
    * @param reachable finds the address to connect to for an announced address
    */
   public HttpDatabaseConnector(Vertx vertx, UnaryOperator<String> reachable) {
+    this.vertx = vertx;
     this.reachable = reachable;
     HttpClientOptions options = new HttpClientOptions().setKeepAlive(true).setTcpNoDelay(true);
     this.client = vertx.createHttpClient(options);
@@ -52,9 +57,11 @@
             .setHost(host(address))
             .setPort(port(address))
             .setConnectTimeout(timeoutMillis);
+    Context context = vertx.getOrCreateContext();
     try {
-      HttpClientConnection connection = await(client.connect(options), timeoutMillis);
-      return new HttpBackendConnection(connection);
+      HttpClientConnection connection =
+          await(onEventLoop(context, () -> client.connect(options)), timeoutMillis);
+      return new HttpBackendConnection(context, connection);
     } catch (IOException e) {
       throw new BackendException(false, e);
     }
@@ -94,16 +101,30 @@
     try {
       Buffer body = Buffer.buffer(JSON.writeValueAsBytes(message));
       Future<Buffer> answer =
-          client
-              .request(options)
-              .compose(request -> request.send(body))
-              .compose(HttpDatabaseConnector::successBody);
+          onEventLoop(
+              vertx.getOrCreateContext(),
+              () ->
+                  client
+                      .request(options)
+                      .compose(request -> request.send(body))
+                      .compose(HttpDatabaseConnector::successBody));
       return JSON.readValue(await(answer, timeoutMillis).getBytes(), ServerStatus.class);
     } catch (IOException e) {
       throw new BackendException(true, e);
     }
   }
 
+  /**
+   * Runs an exchange on an event loop from its start.
+   *
+   * <p>Composed from another thread, it could attach the handler of a body after the body arrived.
+   */
+  private static <T> Future<T> onEventLoop(Context context, Supplier<Future<T>> exchange) {
+    Promise<T> promise = Promise.promise();
+    context.runOnContext(ignored -> exchange.get().onComplete(promise));
+    return promise.future();
+  }
+
   private static Future<Buffer> successBody(HttpClientResponse response) {
     return response
         .body()
@@ -142,10 +163,12 @@
   /** One connection that is not shared and not pooled by the HTTP client. */
   private static final class HttpBackendConnection implements BackendConnection {
 
+    private final Context context;
     private final HttpClientConnection connection;
     private final AtomicBoolean usable = new AtomicBoolean(true);
 
-    HttpBackendConnection(HttpClientConnection connection) {
+    HttpBackendConnection(Context context, HttpClientConnection connection) {
+      this.context = context;
       this.connection = connection;
       connection.closeHandler(ignored -> usable.set(false));
     }
@@ -153,14 +176,18 @@
     @Override
     public BackendAnswer call(Operation operation, BackendCall call, long timeoutMillis)
         throws BackendException {
-      boolean sent = false;
       try {
         Buffer body = Buffer.buffer(JSON.writeValueAsBytes(call));
         RequestOptions options =
             new RequestOptions().setMethod(HttpMethod.POST).setURI(operation.path());
-        var request = HttpDatabaseConnector.await(connection.request(options), timeoutMillis);
-        sent = true;
-        Future<Buffer> answer = request.send(body).compose(HttpDatabaseConnector::successBody);
+        Future<Buffer> answer =
+            onEventLoop(
+                context,
+                () ->
+                    connection
+                        .request(options)
+                        .compose(request -> request.send(body))
+                        .compose(HttpDatabaseConnector::successBody));
         BackendAnswer received =
             JSON.readValue(
                 HttpDatabaseConnector.await(answer, timeoutMillis).getBytes(), BackendAnswer.class);
@@ -170,7 +197,7 @@
         return received;
       } catch (IOException e) {
         usable.set(false);
-        throw new BackendException(sent, e);
+        throw new BackendException(true, e);
       }
     }
 
--- /dev/null
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/connection/HttpDatabaseConnectorTests.java
@@ -0,0 +1,122 @@
+package org.cowslipdale.daemon.connection;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.UnaryOperator;
+import org.cowslipdale.config.codec.Codecs;
+import org.cowslipdale.config.protocol.BackendAnswer;
+import org.cowslipdale.config.protocol.BackendCall;
+import org.cowslipdale.daemon.connection.BackendConnection.Operation;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class HttpDatabaseConnectorTests {
+
+  private static final ObjectMapper JSON = Codecs.json();
+  private static final long TIMEOUT_MILLIS = 10_000;
+
+  private final Vertx vertx = Vertx.vertx();
+  private final HttpDatabaseConnector connector =
+      new HttpDatabaseConnector(vertx, UnaryOperator.identity());
+  private UnaryOperator<String> answeredCall = UnaryOperator.identity();
+  private String address = "";
+
+  @BeforeEach
+  void startServer() {
+    HttpServer server =
+        vertx
+            .createHttpServer()
+            .requestHandler(this::answer)
+            .listen(0, "127.0.0.1")
+            .toCompletionStage()
+            .toCompletableFuture()
+            .join();
+    address = "127.0.0.1:" + server.actualPort();
+  }
+
+  @AfterEach
+  void stop() {
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+  }
+
+  @Test
+  void everyCallGetsItsAnswer() throws InterruptedException {
+    Queue<BackendException> failures = new ConcurrentLinkedQueue<>();
+    List<Thread> threads = new ArrayList<>();
+    for (int i = 0; i < 16; i++) {
+      threads.add(Thread.startVirtualThread(() -> callRepeatedly(failures)));
+    }
+    for (Thread thread : threads) {
+      thread.join();
+    }
+
+    assertThat(failures, empty());
+  }
+
+  @Test
+  void refusesTheAnswerToAnotherCall() throws BackendException {
+    answeredCall = call -> "another call";
+    try (BackendConnection connection = connector.connect(address, TIMEOUT_MILLIS)) {
+      BackendException e =
+          assertThrows(
+              BackendException.class,
+              () -> connection.call(Operation.STATEMENT, call("mine"), TIMEOUT_MILLIS));
+
+      assertThat(e.isSent(), is(true));
+      assertThat(connection.isUsable(), is(false));
+    }
+  }
+
+  @Test
+  void tellsThatNothingWasSentWhenTheServerCannotBeReached() {
+    BackendException e =
+        assertThrows(
+            BackendException.class, () -> connector.connect("127.0.0.1:1", TIMEOUT_MILLIS));
+
+    assertThat(e.isSent(), is(false));
+  }
+
+  private void callRepeatedly(Queue<BackendException> failures) {
+    try (BackendConnection connection = connector.connect(address, TIMEOUT_MILLIS)) {
+      for (int i = 0; i < 4_000; i++) {
+        connection.call(Operation.STATEMENT, call("call-" + i), TIMEOUT_MILLIS);
+      }
+    } catch (BackendException e) {
+      failures.add(e);
+    }
+  }
+
+  private static BackendCall call(String id) {
+    return new BackendCall(id, 1, false, 0, 0, 0, false, "get a", null);
+  }
+
+  private void answer(HttpServerRequest request) {
+    request
+        .body()
+        .onSuccess(
+            body -> {
+              try {
+                String call = JSON.readValue(body.getBytes(), BackendCall.class).call();
+                BackendAnswer answer =
+                    new BackendAnswer(answeredCall.apply(call), 1, 0, 0, null, null, null);
+                request.response().end(Buffer.buffer(JSON.writeValueAsBytes(answer)));
+              } catch (IOException e) {
+                request.response().setStatusCode(400).end();
+              }
+            });
+  }
+}
--- a/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/fleet/ChildProcess.java
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/fleet/ChildProcess.java
@@ -26,6 +26,9 @@
   /**
    * Returns the command that runs a main class of a built module.
    *
+   * <p>Processes start fast with the simple compiler; benchmarks set the system property {@code
+   * cowslipdale.full-compiler}.
+   *
    * @param root the root of the repository
    * @param module the module without its prefix
    * @param main the main class
@@ -42,7 +45,9 @@
     command.add("-XX:+UseSerialGC");
     command.add("-XX:+IgnoreUnrecognizedVMOptions");
     command.add("--sun-misc-unsafe-memory-access=allow");
-    command.add("-XX:TieredStopAtLevel=1");
+    if (!Boolean.getBoolean("cowslipdale.full-compiler")) {
+      command.add("-XX:TieredStopAtLevel=1");
+    }
     command.add("-Xmx" + heap);
     command.add("-cp");
     command.add(classpath);
