--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/quota/TokenOwner.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/quota/TokenOwner.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.cowslipdale.core.view.RateLimit;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -36,14 +37,6 @@
   /** The unused tokens of one VM. */
   private record Stock(long tokens, long expiresMillis) {}
 
-  /**
-   * The limits of a customer.
-   *
-   * @param ratePerSecond tokens per second
-   * @param burst the most tokens that may be unused at a time
-   */
-  public record Limit(double ratePerSecond, long burst) {}
-
   /**
    * An answer to a request for tokens.
    *
@@ -73,7 +66,7 @@
    * @param now the present time on the leader's monotonic clock, in milliseconds
    */
   public Grant issue(
-      String customer, Limit limit, String vm, long unused, long wanted, int vms, long now) {
+      String customer, RateLimit limit, String vm, long unused, long wanted, int vms, long now) {
     Bucket bucket = buckets.computeIfAbsent(customer, name -> new Bucket(electedMillis));
     long kept = Math.min(unused, remaining(bucket.stocks.get(vm), now));
     if (kept == 0) {
@@ -94,7 +87,7 @@
     return new Grant(issued, 0);
   }
 
-  private void refill(Bucket bucket, Limit limit, long now) {
+  private void refill(Bucket bucket, RateLimit limit, long now) {
     long outstanding = 0;
     bucket.stocks.values().removeIf(stock -> stock.expiresMillis() <= now);
     for (Stock stock : bucket.stocks.values()) {
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/RouteRequest.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/RouteRequest.java
@@ -12,15 +12,10 @@
  * @param database the database
  * @param workClass the class of the request
  * @param seen the position that the session has seen
- * @param transaction whether the request begins a transaction
  * @param tried the servers that already declined the request
  */
 public record RouteRequest(
-    String database,
-    WorkClass workClass,
-    LogPosition seen,
-    boolean transaction,
-    Set<String> tried) {
+    String database, WorkClass workClass, LogPosition seen, Set<String> tried) {
 
   /** Copies the set and asserts that every component is set. */
   public RouteRequest {
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/view/Configuration.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/view/Configuration.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.Function;
 
 /**
@@ -63,6 +64,22 @@
         merge(databases, change.putDatabases(), change.removeDatabases(), Database::name));
   }
 
+  /**
+   * Returns the rate and burst of a customer or an open route.
+   *
+   * @param identity the name of a customer or the identity of an open route
+   * @return the limits, or empty if there is none of this name
+   */
+  public Optional<RateLimit> rateLimit(String identity) {
+    Optional<String> route = OpenRoute.routeOf(identity);
+    if (route.isPresent()) {
+      return Optional.ofNullable(openRoutes.get(route.get()))
+          .map(open -> new RateLimit(open.ratePerSecond(), open.burst()));
+    }
+    return Optional.ofNullable(customers.get(identity))
+        .map(customer -> new RateLimit(customer.ratePerSecond(), customer.burst()));
+  }
+
   /** Returns the references to undeclared names and other contradictions; empty if valid. */
   public List<String> problems() {
     List<String> problems = new ArrayList<>();
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/view/OpenRoute.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/view/OpenRoute.java
@@ -2,6 +2,8 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.Optional;
+
 /**
  * A read that anyone may run without a key.
  *
@@ -20,6 +22,8 @@
     double ratePerSecond,
     long burst) {
 
+  private static final String IDENTITY_PREFIX = "open:";
+
   /** Asserts that every component is set. */
   public OpenRoute {
     requireNonNull(name, "name");
@@ -30,4 +34,26 @@
       throw new IllegalArgumentException("ratePerSecond and burst must be positive");
     }
   }
+
+  /**
+   * Returns the identity under which requests of a route are counted and queued; no customer can
+   * have it as a name.
+   *
+   * @param route the name of the route
+   */
+  public static String identity(String route) {
+    return IDENTITY_PREFIX + route;
+  }
+
+  /**
+   * Returns the route of an identity.
+   *
+   * @param identity the name of a customer or the identity of a route
+   * @return the name of the route, or empty if the identity is a customer's name
+   */
+  public static Optional<String> routeOf(String identity) {
+    return identity.startsWith(IDENTITY_PREFIX)
+        ? Optional.of(identity.substring(IDENTITY_PREFIX.length()))
+        : Optional.empty();
+  }
 }
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/quota/TokenTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/quota/TokenTests.java
@@ -12,6 +12,7 @@
 import org.cowslipdale.core.admission.Admission;
 import org.cowslipdale.core.admission.SlotQueue;
 import org.cowslipdale.core.admission.Ticket;
+import org.cowslipdale.core.view.RateLimit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -24,7 +25,7 @@
   private static final class Play {
 
     private final Random random;
-    private final TokenOwner.Limit limit;
+    private final RateLimit limit;
     private final List<TokenStock<Integer>> stocks = new ArrayList<>();
     private final List<Answer> answers = new ArrayList<>();
     private final List<Long> admitted = new ArrayList<>();
@@ -33,7 +34,7 @@
 
     private record Answer(long atMillis, int vm, TokenStock.Ask ask, TokenOwner.Grant grant) {}
 
-    Play(long seed, TokenOwner.Limit limit) {
+    Play(long seed, RateLimit limit) {
       this.random = new Random(seed);
       this.limit = limit;
       for (int vm = 0; vm < VMS; vm++) {
@@ -101,7 +102,7 @@
   @ParameterizedTest
   @CsvSource({"1, 100, 100", "2, 100, 20", "3, 500, 100", "4, 50, 50", "5, 1000, 2000"})
   void admitsNoMoreThanRateAndBurstInAnyWindow(long seed, double rate, long burst) {
-    Play play = new Play(seed, new TokenOwner.Limit(rate, burst));
+    Play play = new Play(seed, new RateLimit(rate, burst));
     Random random = new Random(seed);
     for (long now = 0; now < 10_000; now++) {
       if (now == 5_000) {
@@ -122,7 +123,7 @@
   @ParameterizedTest
   @CsvSource({"1", "6"})
   void refusesNothingInsideTheRateWhateverVmItComesThrough(int vmsInUse) {
-    Play play = new Play(7, new TokenOwner.Limit(200, 200));
+    Play play = new Play(7, new RateLimit(200, 200));
     Random random = new Random(8);
     int sent = 0;
     for (long now = 2_000; now < 22_000; now++) {
@@ -143,7 +144,7 @@
   @Test
   void aNewOwnerIssuesOnlyWhatTheRateHasYieldedSinceItsElection() {
     TokenOwner owner = new TokenOwner(1_000);
-    TokenOwner.Limit limit = new TokenOwner.Limit(10, 1_000);
+    RateLimit limit = new RateLimit(10, 1_000);
 
     assertThat(owner.issue("acme", limit, "vm1", 0, 50, 1, 1_000).tokens(), is(0L));
     assertThat(owner.issue("acme", limit, "vm1", 0, 50, 1, 2_000).tokens(), is(10L));
@@ -152,7 +153,7 @@
   @Test
   void unusedTokensOnVmsCountAgainstTheBurst() {
     TokenOwner owner = new TokenOwner(0);
-    TokenOwner.Limit limit = new TokenOwner.Limit(100, 40);
+    RateLimit limit = new RateLimit(100, 40);
 
     assertThat(owner.issue("acme", limit, "vm1", 0, 20, 1, 10_000).tokens(), is(20L));
     assertThat(owner.issue("acme", limit, "vm2", 0, 40, 1, 10_001).tokens(), is(20L));
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/DefaultRouterTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/DefaultRouterTests.java
@@ -138,7 +138,7 @@
   }
 
   private RouteDecision route(WorkClass workClass, LogPosition seen, LeaseStatus lease) {
-    RouteRequest request = new RouteRequest("bonds", workClass, seen, false, Set.of());
+    RouteRequest request = new RouteRequest("bonds", workClass, seen, Set.of());
     return router.route(request, registry.group("bonds"), state, lease, NOW);
   }
 
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/HttpDatabaseConnector.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/HttpDatabaseConnector.java
@@ -14,7 +14,6 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.io.IOException;
-import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -212,9 +211,4 @@
       connection.close();
     }
   }
-
-  /** Returns a new identifier for a call. */
-  public static String newCallId() {
-    return UUID.randomUUID().toString();
-  }
 }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FailoverExecutor.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FailoverExecutor.java
@@ -6,7 +6,6 @@
 import org.cowslipdale.config.protocol.PromotionCall;
 import org.cowslipdale.config.protocol.ServerStatus;
 import org.cowslipdale.core.backend.ServerRole;
-import org.cowslipdale.core.failover.FailoverAction;
 import org.cowslipdale.core.failover.FailoverAction.Order;
 import org.cowslipdale.core.failover.FailoverAction.QueryPosition;
 import org.cowslipdale.core.session.LogPosition;
@@ -72,11 +71,6 @@
         });
   }
 
-  /** Returns whether an action is an order to become primary. */
-  static boolean isPromotion(FailoverAction action) {
-    return action instanceof Order order && order.primary() == null;
-  }
-
   private ServerStatus ask(QueryPosition query) throws BackendException {
     if (query.minOffset() == 0) {
       return connector.status(query.address(), QUERY_TIMEOUT_MILLIS);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetRateLimiter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetRateLimiter.java
@@ -10,13 +10,11 @@
 import org.cowslipdale.core.admission.SlotQueue.Progress;
 import org.cowslipdale.core.admission.Ticket;
 import org.cowslipdale.core.quota.LocalShare;
-import org.cowslipdale.core.quota.TokenOwner;
 import org.cowslipdale.core.quota.TokenStock;
 import org.cowslipdale.core.result.RefusalException;
 import org.cowslipdale.core.result.ResultCode;
-import org.cowslipdale.core.view.Configuration;
-import org.cowslipdale.core.view.Customer;
 import org.cowslipdale.core.view.OpenRoute;
+import org.cowslipdale.core.view.RateLimit;
 import org.cowslipdale.daemon.peer.PeerMessage.TokenReply;
 import org.cowslipdale.daemon.peer.PeerMessage.TokenRequest;
 import org.cowslipdale.daemon.request.RateLimiter;
@@ -50,8 +48,14 @@
 
   @Override
   public void acquire(String customer, long deadlineMillis) throws RefusalException {
-    TokenOwner.Limit limit = limitOf(customer);
-    if (isOpenRoute(customer) && !holdsLease()) {
+    RateLimit limit =
+        views
+            .get()
+            .view()
+            .configuration()
+            .rateLimit(customer)
+            .orElseThrow(() -> new RefusalException(ResultCode.UNAUTHENTICATED));
+    if (OpenRoute.routeOf(customer).isPresent() && !holdsLease()) {
       acquireLocally(customer, limit);
       return;
     }
@@ -66,7 +70,7 @@
     }
   }
 
-  private void acquireLocally(String route, TokenOwner.Limit limit) throws RefusalException {
+  private void acquireLocally(String route, RateLimit limit) throws RefusalException {
     int vms = Math.max(1, views.get().view().activeVms().size());
     LocalShare share = shares.computeIfAbsent(route, name -> new LocalShare());
     if (!share.tryTake(limit.ratePerSecond() / vms, clock.millis())) {
@@ -78,10 +82,6 @@
     return views.get().lease().isValid(clock.millis());
   }
 
-  private static boolean isOpenRoute(String customer) {
-    return customer.startsWith("open:");
-  }
-
   /** Expires requests that waited too long and asks again where it is due. */
   void tick() {
     stocks.forEach(
@@ -91,21 +91,6 @@
         });
   }
 
-  private TokenOwner.Limit limitOf(String customer) throws RefusalException {
-    Configuration configuration = views.get().view().configuration();
-    if (isOpenRoute(customer)) {
-      OpenRoute route = configuration.openRoutes().get(customer.substring("open:".length()));
-      if (route != null) {
-        return new TokenOwner.Limit(route.ratePerSecond(), route.burst());
-      }
-    }
-    Customer known = configuration.customers().get(customer);
-    if (known == null) {
-      throw new RefusalException(ResultCode.UNAUTHENTICATED);
-    }
-    return new TokenOwner.Limit(known.ratePerSecond(), known.burst());
-  }
-
   private void askIfDue(String customer, TokenStock<CompletableFuture<Boolean>> stock) {
     stock
         .poll(clock.millis())
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -18,9 +18,7 @@
 import org.cowslipdale.core.failover.FailoverAction;
 import org.cowslipdale.core.quota.TokenOwner;
 import org.cowslipdale.core.result.ResultCode;
-import org.cowslipdale.core.view.Configuration;
-import org.cowslipdale.core.view.Customer;
-import org.cowslipdale.core.view.OpenRoute;
+import org.cowslipdale.core.view.RateLimit;
 import org.cowslipdale.core.view.View;
 import org.cowslipdale.core.view.ViewCommand;
 import org.cowslipdale.core.view.VmRecord;
@@ -185,7 +183,7 @@
   TokenReply issueTokens(String from, TokenRequest request) {
     long now = clock.millis();
     Leadership current = leadership;
-    Optional<TokenOwner.Limit> limit = limitOf(request.customer());
+    Optional<RateLimit> limit = state.view().configuration().rateLimit(request.customer());
     if (failed || current == null || limit.isEmpty() || !node.holdsLeaderLease(now)) {
       return new TokenReply(0, 50);
     }
@@ -239,18 +237,6 @@
         request.sentMillis());
   }
 
-  private Optional<TokenOwner.Limit> limitOf(String customer) {
-    Configuration configuration = state.view().configuration();
-    if (customer.startsWith("open:")) {
-      OpenRoute route = configuration.openRoutes().get(customer.substring("open:".length()));
-      return Optional.ofNullable(route)
-          .map(open -> new TokenOwner.Limit(open.ratePerSecond(), open.burst()));
-    }
-    Customer known = configuration.customers().get(customer);
-    return Optional.ofNullable(known)
-        .map(limits -> new TokenOwner.Limit(limits.ratePerSecond(), limits.burst()));
-  }
-
   /** Stores, sends and applies, in this order. */
   private void carryOut(Output output) {
     if (output.needsStorage()) {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/Authenticator.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/Authenticator.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import org.cowslipdale.core.control.LeaseTimings;
 import org.cowslipdale.core.result.RefusalException;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.session.SessionToken;
@@ -17,13 +18,10 @@
  * Checks the key of every request, also on connections that have shown it before.
  *
  * <p>A VM without a lease cannot hear of withdrawn keys. It accepts keys for {@link
- * #KEY_GRACE_MILLIS} after the end of its lease and then serves open routes only.
+ * LeaseTimings#KEY_GRACE_MILLIS} after the end of its lease and then serves open routes only.
  */
 final class Authenticator {
 
-  /** How long keys are accepted after the end of the lease. */
-  static final long KEY_GRACE_MILLIS = 3_000;
-
   private final ViewHolder views;
   private final SessionTokenCodec tokens;
   private final VmClock clock;
@@ -40,7 +38,7 @@
     if (request.key() == null) {
       throw new RefusalException(ResultCode.UNAUTHENTICATED);
     }
-    if (current.lease().expiredForMillis(clock.millis()) > KEY_GRACE_MILLIS) {
+    if (current.lease().expiredForMillis(clock.millis()) > LeaseTimings.KEY_GRACE_MILLIS) {
       throw new RefusalException(ResultCode.NO_LEASE);
     }
     return KeyDigester.authenticate(current.view(), request.key())
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/RateLimiter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/RateLimiter.java
@@ -8,7 +8,7 @@
   /**
    * Takes one request from a customer's allowance and waits for it if necessary.
    *
-   * @param customer the customer, or {@code open:} and the name of an open route
+   * @param customer the name of a customer or the identity of an open route
    * @param deadlineMillis until when to wait, on the VM's monotonic clock
    * @throws RefusalException if the allowance is used up until the deadline
    */
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/RequestService.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/RequestService.java
@@ -202,7 +202,7 @@
     if (route == null || workClass == null) {
       throw new RefusalException(ResultCode.NOT_FOUND);
     }
-    String identity = "open:" + name;
+    String identity = OpenRoute.identity(name);
     Work work = new Work(route.database(), workClass, new StatementBody(route.statement(), null));
     long deadline = clock.millis() + workClass.waitLimitMillis();
     Caller caller = caller(request, identity);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/StatementRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/StatementRunner.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.UUID;
 import java.util.concurrent.ThreadLocalRandom;
 import org.cowslipdale.config.protocol.BackendAnswer;
 import org.cowslipdale.config.protocol.BackendCall;
@@ -22,7 +23,6 @@
 import org.cowslipdale.daemon.connection.BackendConnection.Operation;
 import org.cowslipdale.daemon.connection.BackendException;
 import org.cowslipdale.daemon.connection.BackendPool.PooledConnection;
-import org.cowslipdale.daemon.connection.HttpDatabaseConnector;
 import org.cowslipdale.daemon.telemetry.Tracing;
 import org.cowslipdale.daemon.version.CurrentView;
 import org.cowslipdale.daemon.version.ViewHolder;
@@ -71,7 +71,7 @@
   /** Runs a single statement. */
   Answer run(Caller caller, Work work, long deadlineMillis) throws RefusalException {
     backends.retries().earn();
-    return new Attempts<Answer>(caller, work, false, deadlineMillis) {
+    return new Attempts<Answer>(caller, work, deadlineMillis) {
       @Override
       Optional<Answer> attempt(RunOn target) throws RefusalException {
         return runOn(target, this);
@@ -81,7 +81,7 @@
 
   /** Begins a transaction; the caller owns the connection afterwards. */
   Begun begin(Caller caller, Work work, long deadlineMillis) throws RefusalException {
-    return new Attempts<Begun>(caller, work, true, deadlineMillis) {
+    return new Attempts<Begun>(caller, work, deadlineMillis) {
       @Override
       Optional<Begun> attempt(RunOn target) throws RefusalException {
         return beginOn(target, this);
@@ -94,16 +94,14 @@
 
     private final Caller caller;
     private final Work work;
-    private final boolean transaction;
     private final long deadlineMillis;
     private final Set<String> tried = new HashSet<>();
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private boolean mayHaveRun;
 
-    Attempts(Caller caller, Work work, boolean transaction, long deadlineMillis) {
+    Attempts(Caller caller, Work work, long deadlineMillis) {
       this.caller = caller;
       this.work = work;
-      this.transaction = transaction;
       this.deadlineMillis = deadlineMillis;
     }
 
@@ -139,11 +137,7 @@
       CurrentView current = views.get();
       RouteRequest request =
           new RouteRequest(
-              work.database(),
-              work.workClass(),
-              caller.session().position(work.database()),
-              transaction,
-              tried);
+              work.database(), work.workClass(), caller.session().position(work.database()), tried);
       return backends
           .router()
           .route(
@@ -278,7 +272,7 @@
   private static BackendCall call(RunOn target, Work work) {
     Conditions conditions = target.conditions();
     return new BackendCall(
-        HttpDatabaseConnector.newCallId(),
+        UUID.randomUUID().toString(),
         target.term(),
         conditions.asPrimary(),
         conditions.minOffset(),
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/TransactionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/TransactionRunner.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.NullNode;
 import com.fasterxml.jackson.databind.node.TextNode;
+import java.util.UUID;
 import org.cowslipdale.config.protocol.BackendAnswer;
 import org.cowslipdale.config.protocol.BackendCall;
 import org.cowslipdale.config.protocol.StatementBody;
@@ -14,7 +15,6 @@
 import org.cowslipdale.core.session.SessionToken;
 import org.cowslipdale.daemon.connection.BackendConnection.Operation;
 import org.cowslipdale.daemon.connection.BackendException;
-import org.cowslipdale.daemon.connection.HttpDatabaseConnector;
 import org.cowslipdale.daemon.request.RequestClaims.Claim;
 import org.cowslipdale.daemon.request.TransactionRegistry.Transaction;
 import org.cowslipdale.daemon.version.VmClock;
@@ -145,7 +145,7 @@
     StatementRunner.Begun begun = transaction.begun();
     BackendCall call =
         new BackendCall(
-            HttpDatabaseConnector.newCallId(),
+            UUID.randomUUID().toString(),
             begun.server().term(),
             begun.server().conditions().asPrimary(),
             0,
--- a/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/capacity/CapacityMain.java
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/capacity/CapacityMain.java
@@ -31,6 +31,7 @@
 import org.cowslipdale.core.view.Database;
 import org.cowslipdale.core.view.DatabaseState;
 import org.cowslipdale.core.view.DatabaseState.TermStart;
+import org.cowslipdale.core.view.RateLimit;
 import org.cowslipdale.core.view.View;
 import org.cowslipdale.core.view.ViewCommand;
 import org.cowslipdale.core.view.VmRecord;
@@ -299,7 +300,7 @@
 
   private static TokenOwner owner(int count) {
     TokenOwner owner = new TokenOwner(0);
-    TokenOwner.Limit limit = new TokenOwner.Limit(100, 100);
+    RateLimit limit = new RateLimit(100, 100);
     for (int i = 0; i < count; i++) {
       owner.issue("customer-" + i, limit, "vm1", 0, 1, 6, NOW);
     }
@@ -307,7 +308,7 @@
   }
 
   private static double issueMicros(TokenOwner owner) {
-    TokenOwner.Limit limit = new TokenOwner.Limit(1_000_000, 1_000_000);
+    RateLimit limit = new RateLimit(1_000_000, 1_000_000);
     return Measure.micros(() -> owner.issue("customer-7", limit, "vm2", 0, 10, 6, NOW));
   }
 
--- a/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/demo/DemoMain.java
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/demo/DemoMain.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.cowslipdale.testsupport.demo.Demo.StepResult;
@@ -23,7 +24,7 @@
    *
    * @param args see {@code --help}
    */
-  public static void main(String[] args) throws IOException {
+  public static void main(String[] args) throws IOException, InterruptedException {
     DemoOptions options = new DemoOptions();
     JCommander commander = JCommander.newBuilder().programName("demo").addObject(options).build();
     try {
@@ -39,7 +40,7 @@
     System.exit(run(options));
   }
 
-  private static int run(DemoOptions options) throws IOException {
+  private static int run(DemoOptions options) throws IOException, InterruptedException {
     Path root = Fleet.repositoryRoot().toAbsolutePath();
     Path folder = root.resolve(options.folder);
     deleteFolder(folder);
@@ -54,6 +55,7 @@
         trace-ratio = 1
         """;
     try (Fleet fleet = new Fleet(root, folder, deployment, extra)) {
+      Runtime.getRuntime().addShutdownHook(new Thread(fleet::close, "shutdown"));
       System.out.println("starting 6 daemons in 3 failure domains and 3 database servers ...");
       fleet.start();
       Demo demo = new Demo(fleet);
@@ -82,12 +84,12 @@
     return ok;
   }
 
-  private static void keep(Fleet fleet, String key) throws IOException {
+  private static void keep(Fleet fleet, String key) throws IOException, InterruptedException {
     String servers = fleet.vms().stream().map(Fleet.Vm::admin).collect(Collectors.joining(","));
     System.out.println(
         """
 
-        The fleet keeps running until you press Enter. Try:
+        The fleet keeps running until you press Enter or end this process. Try:
           export COWSLIPDALE_SERVER=%s
           export COWSLIPDALE_TOKEN=%s
           bin/cowslipdale status
@@ -104,7 +106,7 @@
                 fleet.vm("vm1").callers(),
                 fleet.vm("vm1").admin()));
     if (System.in.read() < 0) {
-      System.out.println("standard input is closed; stopping");
+      new CountDownLatch(1).await();
     }
   }
 
