--- a/cowslipdale-cli/src/main/java/org/cowslipdale/cli/AdminClient.java
+++ b/cowslipdale-cli/src/main/java/org/cowslipdale/cli/AdminClient.java
@@ -97,7 +97,7 @@
     } catch (IOException e) {
       throw new CliException(
           ExitCode.UNREACHABLE,
-          ResultCode.CHANGE_OUTCOME_UNKNOWN,
+          method.equals("GET") ? ResultCode.NO_LEADER : ResultCode.CHANGE_OUTCOME_UNKNOWN,
           "%s does not answer: %s".formatted(server, e),
           e);
     } catch (InterruptedException e) {
--- a/cowslipdale-config/src/main/java/org/cowslipdale/config/ini/IniFile.java
+++ b/cowslipdale-config/src/main/java/org/cowslipdale/config/ini/IniFile.java
@@ -42,11 +42,8 @@
       return parse(path.toString(), Files.readString(path, UTF_8));
     } catch (IOException e) {
       IniProblem problem =
-          new IniProblem(
-              ResultCode.FILE_UNREADABLE, path.toString(), 0, "cannot be read: " + e.getMessage());
-      IniException exception = new IniException(List.of(problem));
-      exception.initCause(e);
-      throw exception;
+          new IniProblem(ResultCode.FILE_UNREADABLE, path.toString(), 0, "cannot be read: " + e);
+      throw new IniException(List.of(problem), e);
     }
   }
 
--- a/cowslipdale-config/src/test/java/org/cowslipdale/config/settings/DaemonSettingsReaderTests.java
+++ b/cowslipdale-config/src/test/java/org/cowslipdale/config/settings/DaemonSettingsReaderTests.java
@@ -6,9 +6,11 @@
 import static org.hamcrest.Matchers.startsWith;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.nio.file.Path;
 import java.util.Map;
 import org.cowslipdale.config.ini.IniException;
 import org.cowslipdale.config.ini.IniFile;
+import org.cowslipdale.core.result.ResultCode;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -76,6 +78,14 @@
     assertThat(e.problems().getFirst().toString(), startsWith(expected));
   }
 
+  @Test
+  void reportsAFileThatCannotBeRead() {
+    IniException e =
+        assertThrows(IniException.class, () -> IniFile.read(Path.of("no", "such.ini")));
+
+    assertThat(e.code(), is(ResultCode.FILE_UNREADABLE));
+  }
+
   @Test
   void reportsAllErrorsAtOnce() {
     String broken = VALID.replace("praha-a", "Praha A").replace("250 ms", "soon");
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/BackendPool.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/BackendPool.java
@@ -1,12 +1,9 @@
 package org.cowslipdale.daemon.connection;
 
 import java.util.Deque;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedDeque;
-import java.util.concurrent.ExecutionException;
 import org.cowslipdale.core.admission.QueuePolicy;
 import org.cowslipdale.core.admission.SlotQueue;
-import org.cowslipdale.core.admission.SlotQueue.Progress;
 import org.cowslipdale.core.admission.Ticket;
 import org.cowslipdale.core.result.RefusalException;
 import org.cowslipdale.core.result.ResultCode;
@@ -25,7 +22,7 @@
   private final String address;
   private final DatabaseConnector connector;
   private final VmClock clock;
-  private final SlotQueue<CompletableFuture<Boolean>> queue;
+  private final SlotQueue<TicketFuture> queue;
   private final Deque<BackendConnection> idle = new ConcurrentLinkedDeque<>();
 
   BackendPool(
@@ -55,7 +52,7 @@
 
   /** Expires requests that waited too long. */
   void tick(long now) {
-    complete(queue.advance(now));
+    TicketFuture.wake(queue.advance(now));
   }
 
   /**
@@ -71,7 +68,7 @@
     try {
       return new PooledConnection(connection(), acquiredAt);
     } catch (BackendException e) {
-      complete(queue.release(0, clock.millis()));
+      TicketFuture.wake(queue.release(0, clock.millis()));
       throw e;
     }
   }
@@ -88,12 +85,12 @@
   }
 
   private void awaitSlot(String customer, long deadlineMillis) throws RefusalException {
-    CompletableFuture<Boolean> granted = new CompletableFuture<>();
-    Ticket<CompletableFuture<Boolean>> ticket = new Ticket<>(customer, deadlineMillis, granted);
+    TicketFuture granted = new TicketFuture();
+    Ticket<TicketFuture> ticket = new Ticket<>(customer, deadlineMillis, granted);
     switch (queue.offer(ticket, clock.millis())) {
       case REFUSED -> throw new RefusalException(ResultCode.OVERLOADED);
       case QUEUED -> {
-        if (!resultOf(granted)) {
+        if (!granted.await()) {
           throw new RefusalException(ResultCode.WAIT_LIMIT_REACHED);
         }
       }
@@ -101,17 +98,6 @@
     }
   }
 
-  private static boolean resultOf(CompletableFuture<Boolean> granted) throws RefusalException {
-    try {
-      return granted.get();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      throw new RefusalException(ResultCode.SHUTTING_DOWN);
-    } catch (ExecutionException e) {
-      throw new IllegalStateException("slots are only granted or refused", e);
-    }
-  }
-
   private BackendConnection connection() throws BackendException {
     for (BackendConnection connection = idle.poll(); connection != null; connection = idle.poll()) {
       if (connection.isUsable()) {
@@ -122,11 +108,6 @@
     return connector.connect(address, CONNECT_TIMEOUT_MILLIS);
   }
 
-  private static void complete(Progress<CompletableFuture<Boolean>> progress) {
-    progress.dispatched().forEach(ticket -> ticket.payload().complete(true));
-    progress.expired().forEach(ticket -> ticket.payload().complete(false));
-  }
-
   /** The use of a slot and a connection by one request or transaction. */
   public final class PooledConnection implements AutoCloseable {
 
@@ -157,7 +138,7 @@
       } else {
         closeWithIdleIfFailed();
       }
-      complete(queue.release((double) (now - acquiredAtMillis), now));
+      TicketFuture.wake(queue.release((double) (now - acquiredAtMillis), now));
     }
 
     /** What made one connection fail or fall silent has probably met the idle ones too. */
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetRateLimiter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetRateLimiter.java
@@ -2,12 +2,9 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
-import java.util.concurrent.ExecutionException;
 import org.cowslipdale.core.admission.Admission;
-import org.cowslipdale.core.admission.SlotQueue.Progress;
 import org.cowslipdale.core.admission.Ticket;
 import org.cowslipdale.core.quota.LocalShare;
 import org.cowslipdale.core.quota.TokenStock;
@@ -15,6 +12,7 @@
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.view.OpenRoute;
 import org.cowslipdale.core.view.RateLimit;
+import org.cowslipdale.daemon.connection.TicketFuture;
 import org.cowslipdale.daemon.peer.PeerMessage.TokenReply;
 import org.cowslipdale.daemon.peer.PeerMessage.TokenRequest;
 import org.cowslipdale.daemon.request.RateLimiter;
@@ -36,8 +34,7 @@
   private final ControlLink link;
   private final ViewHolder views;
   private final VmClock clock;
-  private final ConcurrentMap<String, TokenStock<CompletableFuture<Boolean>>> stocks =
-      new ConcurrentHashMap<>();
+  private final ConcurrentMap<String, TokenStock<TicketFuture>> stocks = new ConcurrentHashMap<>();
   private final ConcurrentMap<String, LocalShare> shares = new ConcurrentHashMap<>();
 
   FleetRateLimiter(ControlLink link, ViewHolder views, VmClock clock) {
@@ -59,13 +56,12 @@
       acquireLocally(customer, limit);
       return;
     }
-    TokenStock<CompletableFuture<Boolean>> stock =
-        stocks.computeIfAbsent(customer, name -> new TokenStock<>());
-    CompletableFuture<Boolean> granted = new CompletableFuture<>();
-    Ticket<CompletableFuture<Boolean>> ticket = new Ticket<>(customer, deadlineMillis, granted);
+    TokenStock<TicketFuture> stock = stocks.computeIfAbsent(customer, name -> new TokenStock<>());
+    TicketFuture granted = new TicketFuture();
+    Ticket<TicketFuture> ticket = new Ticket<>(customer, deadlineMillis, granted);
     Admission admission = stock.offer(ticket, limit.ratePerSecond(), limit.burst(), clock.millis());
     askIfDue(customer, stock);
-    if (admission == Admission.REFUSED || (admission == Admission.QUEUED && !resultOf(granted))) {
+    if (admission == Admission.REFUSED || (admission == Admission.QUEUED && !granted.await())) {
       throw new RefusalException(holdsLease() ? ResultCode.RATE_EXCEEDED : ResultCode.NO_LEASE);
     }
   }
@@ -86,12 +82,12 @@
   void tick() {
     stocks.forEach(
         (customer, stock) -> {
-          complete(stock.advance(clock.millis()));
+          TicketFuture.wake(stock.advance(clock.millis()));
           askIfDue(customer, stock);
         });
   }
 
-  private void askIfDue(String customer, TokenStock<CompletableFuture<Boolean>> stock) {
+  private void askIfDue(String customer, TokenStock<TicketFuture> stock) {
     stock
         .poll(clock.millis())
         .ifPresent(
@@ -108,27 +104,9 @@
   }
 
   private void answered(
-      String customer,
-      TokenStock<CompletableFuture<Boolean>> stock,
-      TokenStock.Ask ask,
-      TokenReply reply) {
-    complete(stock.granted(reply.tokens(), reply.retryMillis(), ask.sentMillis(), clock.millis()));
+      String customer, TokenStock<TicketFuture> stock, TokenStock.Ask ask, TokenReply reply) {
+    TicketFuture.wake(
+        stock.granted(reply.tokens(), reply.retryMillis(), ask.sentMillis(), clock.millis()));
     askIfDue(customer, stock);
   }
-
-  private static void complete(Progress<CompletableFuture<Boolean>> progress) {
-    progress.dispatched().forEach(ticket -> ticket.payload().complete(true));
-    progress.expired().forEach(ticket -> ticket.payload().complete(false));
-  }
-
-  private static boolean resultOf(CompletableFuture<Boolean> granted) throws RefusalException {
-    try {
-      return granted.get();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      throw new RefusalException(ResultCode.SHUTTING_DOWN);
-    } catch (ExecutionException e) {
-      throw new IllegalStateException("tokens are only granted or refused", e);
-    }
-  }
 }
