End the wait for an answer when the primary is replaced

Once another term has begun, no answer of the old primary may be acknowledged, so both waits now end with 'outcome unknown'. Ruled out: a slow change of primary itself (the new primary was there; other callers wrote through it).

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/BackendConnection.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/BackendConnection.java
@@ -1,5 +1,6 @@
 package org.cowslipdale.daemon.connection;
 
+import java.util.function.BooleanSupplier;
 import org.cowslipdale.config.protocol.BackendAnswer;
 import org.cowslipdale.config.protocol.BackendCall;
 
@@ -14,10 +15,12 @@
    * @param operation what the server does with the call
    * @param call the call
    * @param timeoutMillis how long to wait for the answer, in milliseconds
+   * @param useless tells that no answer can be used any more, which ends the wait
    * @return the answer to this call and no other
    * @throws BackendException if no answer to this call arrives
    */
-  BackendAnswer call(Operation operation, BackendCall call, long timeoutMillis)
+  BackendAnswer call(
+      Operation operation, BackendCall call, long timeoutMillis, BooleanSupplier useless)
       throws BackendException;
 
   /** Returns whether the connection can take a call. */
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/HttpDatabaseConnector.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/HttpDatabaseConnector.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import org.cowslipdale.config.codec.Codecs;
@@ -32,6 +33,9 @@
 
   private static final ObjectMapper JSON = Codecs.json();
 
+  /** How often the wait for an answer checks that the answer would still be useful. */
+  private static final long USELESS_CHECK_MILLIS = 100;
+
   private final Vertx vertx;
   private final HttpClientAgent client;
   private final UnaryOperator<String> reachable;
@@ -136,13 +140,28 @@
   }
 
   private static <T> T await(Future<T> future, long timeoutMillis) throws IOException {
+    return awaitUnless(future, timeoutMillis, () -> false);
+  }
+
+  /** Waits until the future completes, the time is up, or its value would be useless. */
+  private static <T> T awaitUnless(Future<T> future, long timeoutMillis, BooleanSupplier useless)
+      throws IOException {
     CompletableFuture<T> completion = future.toCompletionStage().toCompletableFuture();
+    long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
     try {
-      return completion.get(timeoutMillis, TimeUnit.MILLISECONDS);
+      while (true) {
+        long leftNanos = deadlineNanos - System.nanoTime();
+        long waitNanos = Math.min(leftNanos, TimeUnit.MILLISECONDS.toNanos(USELESS_CHECK_MILLIS));
+        try {
+          return completion.get(waitNanos, TimeUnit.NANOSECONDS);
+        } catch (TimeoutException e) {
+          if (System.nanoTime() >= deadlineNanos || useless.getAsBoolean()) {
+            throw new IOException("no answer in time", e);
+          }
+        }
+      }
     } catch (ExecutionException e) {
       throw new IOException(e.getCause());
-    } catch (TimeoutException e) {
-      throw new IOException("no answer within " + timeoutMillis + " ms", e);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       throw new IOException("interrupted", e);
@@ -173,7 +192,8 @@
     }
 
     @Override
-    public BackendAnswer call(Operation operation, BackendCall call, long timeoutMillis)
+    public BackendAnswer call(
+        Operation operation, BackendCall call, long timeoutMillis, BooleanSupplier useless)
         throws BackendException {
       try {
         Buffer body = Buffer.buffer(JSON.writeValueAsBytes(call));
@@ -187,13 +207,12 @@
                         .request(options)
                         .compose(request -> request.send(body))
                         .compose(HttpDatabaseConnector::successBody));
-        BackendAnswer received =
-            JSON.readValue(
-                HttpDatabaseConnector.await(answer, timeoutMillis).getBytes(), BackendAnswer.class);
-        if (!received.call().equals(call.call())) {
-          throw new IOException("the answer belongs to call " + received.call());
+        byte[] received = awaitUnless(answer, timeoutMillis, useless).getBytes();
+        BackendAnswer parsed = JSON.readValue(received, BackendAnswer.class);
+        if (!parsed.call().equals(call.call())) {
+          throw new IOException("the answer belongs to call " + parsed.call());
         }
-        return received;
+        return parsed;
       } catch (IOException e) {
         usable.set(false);
         throw new BackendException(true, e);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/Acknowledger.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/Acknowledger.java
@@ -22,6 +22,9 @@
 /** Decides whether a write that a primary has run may be acknowledged to its caller. */
 final class Acknowledger {
 
+  /** How often a write that waits for replication checks that its primary is not replaced. */
+  private static final long PRIMARY_CHECK_MILLIS = 25;
+
   private final ViewHolder views;
   private final Backends backends;
   private final VmClock clock;
@@ -70,10 +73,21 @@
             }
           });
     }
-    try {
-      if (!confirmed.tryAcquire(needed, timeoutMillis, TimeUnit.MILLISECONDS)) {
+    long deadline = clock.millis() + timeoutMillis;
+    while (!tryAcquire(confirmed, needed)) {
+      if (clock.millis() >= deadline) {
         throw new RefusalException(ResultCode.REPLICATION_UNCONFIRMED);
       }
+      if (!isCurrentPrimary(database, primary, answer.term())) {
+        throw new RefusalException(
+            ResultCode.OUTCOME_UNKNOWN, "The primary was replaced before the write replicated.");
+      }
+    }
+  }
+
+  private static boolean tryAcquire(Semaphore confirmed, int needed) throws RefusalException {
+    try {
+      return confirmed.tryAcquire(needed, PRIMARY_CHECK_MILLIS, TimeUnit.MILLISECONDS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       throw new RefusalException(ResultCode.REPLICATION_UNCONFIRMED);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/StatementRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/StatementRunner.java
@@ -182,7 +182,11 @@
       BackendAnswer answer =
           pooled
               .connection()
-              .call(Operation.STATEMENT, call(target, work), work.workClass().runLimitMillis());
+              .call(
+                  Operation.STATEMENT,
+                  call(target, work),
+                  work.workClass().runLimitMillis(),
+                  () -> isReplaced(target, work));
       pooled.markClean();
       answered(work.database(), target, answer);
       return judge(target, attempts, answer);
@@ -199,7 +203,11 @@
       BackendAnswer answer =
           pooled
               .connection()
-              .call(Operation.BEGIN, call(target, work), work.workClass().runLimitMillis());
+              .call(
+                  Operation.BEGIN,
+                  call(target, work),
+                  work.workClass().runLimitMillis(),
+                  () -> isReplaced(target, work));
       answered(work.database(), target, answer);
       if (answer.declined() == null) {
         return Optional.of(new Begun(pooled, target, answer));
@@ -253,6 +261,12 @@
     throw new RefusalException(ResultCode.OUTCOME_UNKNOWN);
   }
 
+  /** Tells that another term than the target's has begun, so its primary is none any more. */
+  private boolean isReplaced(RunOn target, Work work) {
+    return target.conditions().asPrimary()
+        && views.get().view().database(work.database()).term() != target.term();
+  }
+
   private void answered(String database, RunOn target, BackendAnswer answer) {
     String server = target.server().name();
     backends.health().succeeded(server);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/TransactionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/TransactionRunner.java
@@ -157,7 +157,7 @@
     return begun
         .pooled()
         .connection()
-        .call(operation, call, transaction.workClass().runLimitMillis());
+        .call(operation, call, transaction.workClass().runLimitMillis(), () -> false);
   }
 
   private static JsonNode resultOf(BackendAnswer answer) {
