--- a/bin/jdk.sh
+++ b/bin/jdk.sh
@@ -1,4 +1,4 @@
-# Sets JAVA_HOME to an installed JDK of at least release 21. Sourced by the other scripts.
+# Sets JAVA_HOME to an installed JDK of at least release 25. Sourced by the other scripts.
 
 jdk_release() {
   sed -n 's/^JAVA_VERSION="\([0-9]*\).*/\1/p' "$1/release" 2>/dev/null
@@ -7,7 +7,7 @@
 jdk_suits() {
   local release
   release=$(jdk_release "$1")
-  [ -n "$release" ] && [ "$release" -ge 21 ] && [ -x "$1/bin/javac" ]
+  [ -n "$release" ] && [ "$release" -ge 25 ] && [ -x "$1/bin/javac" ]
 }
 
 find_jdk() {
@@ -24,7 +24,7 @@
       return 0
     fi
   done
-  echo "no JDK of release 21 or later found beside the default one; set JAVA_HOME" >&2
+  echo "no JDK of release 25 or later found beside the default one; set JAVA_HOME" >&2
   return 1
 }
 
--- a/cowslipdale-config/src/main/java/org/cowslipdale/config/ini/SectionReader.java
+++ b/cowslipdale-config/src/main/java/org/cowslipdale/config/ini/SectionReader.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.regex.Matcher;
@@ -98,6 +99,26 @@
     return value == null ? "" : value.text().strip();
   }
 
+  /**
+   * Returns a required name, which may also be an address.
+   *
+   * @param key the key
+   */
+  public String nameOrAddress(String key) {
+    String text = text(key);
+    return isAddress(text) ? text : name(key);
+  }
+
+  /**
+   * Returns an optional network address.
+   *
+   * @param key the key
+   */
+  public Optional<String> optionalAddress(String key) {
+    IniValue value = find(key);
+    return value == null || value.text().isBlank() ? Optional.empty() : Optional.of(address(key));
+  }
+
   /**
    * Returns a list of names separated by commas.
    *
--- a/cowslipdale-config/src/main/java/org/cowslipdale/config/settings/DaemonSettings.java
+++ b/cowslipdale-config/src/main/java/org/cowslipdale/config/settings/DaemonSettings.java
@@ -1,6 +1,7 @@
 package org.cowslipdale.config.settings;
 
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.cowslipdale.core.admission.QueuePolicy;
@@ -11,26 +12,30 @@
  *
  * @param vm the identity of the VM
  * @param listen the addresses that are bound
- * @param voters the peer addresses of the VMs that keep the control log, by VM name
+ * @param control how the VMs that keep the control log are found
  * @param secrets the secrets shared with other processes
  * @param limits limits that protect the daemon
  * @param observability logs and traces
  * @param policy the policies for routing and queueing
+ * @param regions the region of each failure domain, as far as servers do not tell theirs
+ * @param promotionService the outside service that carries promotions out, if there is one
  * @param translations where connections go instead of the announced address, by announced address
  */
 public record DaemonSettings(
     Vm vm,
     Listen listen,
-    Map<String, String> voters,
+    Control control,
     Secrets secrets,
     Limits limits,
     Observability observability,
     Policy policy,
+    Map<String, String> regions,
+    Optional<PromotionService> promotionService,
     Map<String, String> translations) {
 
   /** Copies the maps. */
   public DaemonSettings {
-    voters = Map.copyOf(voters);
+    regions = Map.copyOf(regions);
     translations = Map.copyOf(translations);
   }
 
@@ -44,28 +49,75 @@
   }
 
   /** Returns whether this VM keeps the control log. */
-  public boolean isVoter() {
-    return voters.containsKey(vm.name());
+  public boolean keepsLog() {
+    return vm.dataFolder().isPresent()
+        && (!control.seeds().isEmpty() || control.voters().containsKey(vm.name()));
+  }
+
+  /**
+   * Returns the region of a failure domain.
+   *
+   * @param failureDomain the failure domain
+   */
+  public String regionOf(String failureDomain) {
+    return regions.getOrDefault(failureDomain, failureDomain);
   }
 
   /**
    * Who this VM is.
    *
-   * @param name the unique name
+   * @param name the unique name; the peer address where VMs are found from seeds
+   * @param label the name shown to outside services and in logs
    * @param failureDomain the failure domain in which it runs
    * @param region the region in which it runs
    * @param dataFolder where its durable state is kept; present on every VM with a disk
    */
-  public record Vm(String name, String failureDomain, String region, Optional<Path> dataFolder) {}
+  public record Vm(
+      String name, String label, String failureDomain, String region, Optional<Path> dataFolder) {}
+
+  /**
+   * How the VMs that keep the control log are found: either all of them are listed, or a few seeds
+   * are given and the rest is learned.
+   *
+   * @param voters the peer addresses of the VMs that keep the control log, by VM name
+   * @param seeds the peer addresses of some of these VMs
+   * @param bootstrap whether an empty data folder becomes that of a new fleet, whose first voters
+   *     are the seeds
+   */
+  public record Control(Map<String, String> voters, List<String> seeds, boolean bootstrap) {
+
+    /** Copies the collections. */
+    public Control {
+      voters = Map.copyOf(voters);
+      seeds = List.copyOf(seeds);
+    }
+  }
+
+  /**
+   * The outside service that carries promotions out.
+   *
+   * @param address its address
+   * @param callsPerSecond how many calls it accepts from all VMs together
+   */
+  public record PromotionService(String address, double callsPerSecond) {}
 
   /**
    * Addresses that are bound, each an IP number and a port.
    *
-   * @param callers for callers
+   * @param callers for callers, over HTTP
+   * @param sessions for callers' sessions
+   * @param readiness for the balancer's health checks
+   * @param control for operators and backend servers that reach the fleet through an adapter
    * @param admin for operators, backend servers' announcements and metrics
    * @param peers for other VMs
    */
-  public record Listen(String callers, String admin, String peers) {}
+  public record Listen(
+      Optional<String> callers,
+      Optional<String> sessions,
+      Optional<String> readiness,
+      Optional<String> control,
+      String admin,
+      String peers) {}
 
   /**
    * Secrets shared with other processes.
@@ -73,8 +125,12 @@
    * @param cluster authenticates VMs to each other and signs session tokens
    * @param adminToken authenticates operators
    * @param announceToken authenticates backend servers
+   * @param trustNetwork whether the network keeps others away, so that the cluster secret may be
+   *     missing and operators and backend servers reach the fleet without a token through an
+   *     adapter
    */
-  public record Secrets(String cluster, String adminToken, String announceToken) {
+  public record Secrets(
+      String cluster, String adminToken, String announceToken, boolean trustNetwork) {
 
     @Override
     public String toString() {
--- a/cowslipdale-config/src/main/java/org/cowslipdale/config/settings/DaemonSettingsReader.java
+++ b/cowslipdale-config/src/main/java/org/cowslipdale/config/settings/DaemonSettingsReader.java
@@ -11,10 +11,12 @@
 import org.cowslipdale.config.ini.IniProblem;
 import org.cowslipdale.config.ini.IniSection;
 import org.cowslipdale.config.ini.SectionReader;
+import org.cowslipdale.config.settings.DaemonSettings.Control;
 import org.cowslipdale.config.settings.DaemonSettings.Limits;
 import org.cowslipdale.config.settings.DaemonSettings.Listen;
 import org.cowslipdale.config.settings.DaemonSettings.Observability;
 import org.cowslipdale.config.settings.DaemonSettings.Policy;
+import org.cowslipdale.config.settings.DaemonSettings.PromotionService;
 import org.cowslipdale.config.settings.DaemonSettings.Secrets;
 import org.cowslipdale.config.settings.DaemonSettings.Vm;
 import org.cowslipdale.core.admission.QueuePolicy;
@@ -33,6 +35,8 @@
           "limits",
           "observability",
           "policy",
+          "regions",
+          "promotion-service",
           "address-translation");
   private static final List<String> REQUIRED = List.of("vm", "listen", "control", "secrets");
 
@@ -56,15 +60,18 @@
   private DaemonSettings read() throws IniException {
     checkSections();
     Vm vm = readVm();
+    Listen listen = readListen();
     DaemonSettings settings =
         new DaemonSettings(
             vm,
-            readListen(),
-            readVoters(vm),
+            listen,
+            readControl(vm, listen),
             readSecrets(),
             readLimits(),
             readObservability(),
             readPolicy(),
+            readRegions(),
+            readPromotionService(),
             readTranslations());
     if (!problems.isEmpty()) {
       throw new IniException(problems);
@@ -93,9 +100,11 @@
   private Vm readVm() {
     SectionReader reader = reader("vm");
     String folder = reader.text("data-folder", "");
+    String name = reader.nameOrAddress("name");
     Vm vm =
         new Vm(
-            reader.name("name"),
+            name,
+            reader.text("label", name),
             reader.name("failure-domain"),
             reader.name("region"),
             folder.isEmpty() ? Optional.empty() : Optional.of(Path.of(folder)));
@@ -105,14 +114,49 @@
 
   private Listen readListen() {
     SectionReader reader = reader("listen");
+    Optional<String> sessions = reader.optionalAddress("sessions");
+    Optional<String> control = reader.optionalAddress("control");
+    boolean adapted = sessions.isPresent() || control.isPresent();
     Listen listen =
-        new Listen(reader.address("callers"), reader.address("admin"), reader.address("peers"));
+        new Listen(
+            adapted ? reader.optionalAddress("callers") : Optional.of(reader.address("callers")),
+            sessions,
+            reader.optionalAddress("readiness"),
+            control,
+            reader.address("admin"),
+            reader.address("peers"));
     reader.finish();
     return listen;
   }
 
-  private Map<String, String> readVoters(Vm vm) {
+  private Control readControl(Vm vm, Listen listen) {
     SectionReader reader = reader("control");
+    List<String> seeds = readSeeds(reader, listen);
+    boolean bootstrap = reader.flag("bootstrap", false);
+    Map<String, String> voters = seeds.isEmpty() ? readVoters(reader, vm) : Map.of();
+    if (!seeds.isEmpty() && !vm.name().equals(listen.peers())) {
+      reader.reject("seeds", "the address of peers as the name in section [vm]");
+    }
+    reader.finish();
+    return new Control(voters, seeds, bootstrap);
+  }
+
+  /** The seeds' hosts count; every VM listens for peers on the same port. */
+  private static List<String> readSeeds(SectionReader reader, Listen listen) {
+    String port = listen.peers().substring(listen.peers().lastIndexOf(':') + 1);
+    List<String> seeds = new ArrayList<>();
+    for (String item : reader.text("seeds", "").split(",", -1)) {
+      String seed = item.strip();
+      if (SectionReader.isAddress(seed)) {
+        seeds.add(seed.substring(0, seed.lastIndexOf(':') + 1) + port);
+      } else if (!seed.isEmpty()) {
+        reader.reject("seeds", "a list of addresses such as 10.0.0.1:7001, 10.0.0.2:7001");
+      }
+    }
+    return seeds;
+  }
+
+  private static Map<String, String> readVoters(SectionReader reader, Vm vm) {
     Map<String, String> voters = new LinkedHashMap<>();
     for (String item : reader.text("voters").split(",", -1)) {
       String[] parts = item.strip().split("\\s+", -1);
@@ -132,17 +176,20 @@
     if (voters.containsKey(vm.name()) && vm.dataFolder().isEmpty()) {
       reader.reject("voters", "a data-folder in section [vm] on every voter");
     }
-    reader.finish();
     return voters;
   }
 
   private Secrets readSecrets() {
     SectionReader reader = reader("secrets");
+    boolean trustNetwork = reader.flag("trust-network", false);
     Secrets secrets =
-        new Secrets(
-            reader.secret("cluster"),
-            reader.secret("admin-token"),
-            reader.secret("announce-token"));
+        trustNetwork
+            ? new Secrets(reader.text("cluster", ""), "", "", true)
+            : new Secrets(
+                reader.secret("cluster"),
+                reader.secret("admin-token"),
+                reader.secret("announce-token"),
+                false);
     reader.finish();
     return secrets;
   }
@@ -191,6 +238,25 @@
     return new Policy(routing, queue);
   }
 
+  private Map<String, String> readRegions() {
+    Map<String, String> regions = new LinkedHashMap<>();
+    for (IniSection section : file.sections()) {
+      if (section.title().equals("regions")) {
+        SectionReader reader = new SectionReader(file.name(), section, problems);
+        section.values().keySet().forEach(domain -> regions.put(domain, reader.name(domain)));
+      }
+    }
+    return regions;
+  }
+
+  private Optional<PromotionService> readPromotionService() {
+    SectionReader reader = reader("promotion-service");
+    Optional<String> address = reader.optionalAddress("address");
+    double rate = reader.decimal("calls-per-second", 10, 0.1, 10_000);
+    reader.finish();
+    return address.map(known -> new PromotionService(known, rate));
+  }
+
   /** Reads the section whose keys and values are addresses. */
   private Map<String, String> readTranslations() {
     Map<String, String> translations = new LinkedHashMap<>();
--- a/cowslipdale-config/src/test/java/org/cowslipdale/config/settings/DaemonSettingsReaderTests.java
+++ b/cowslipdale-config/src/test/java/org/cowslipdale/config/settings/DaemonSettingsReaderTests.java
@@ -49,7 +49,7 @@
   void readsValidSettings() throws IniException {
     DaemonSettings settings = read(VALID);
 
-    assertThat(settings.voters(), is(Map.of("vm1", "127.0.0.1:8301")));
+    assertThat(settings.control().voters(), is(Map.of("vm1", "127.0.0.1:8301")));
     assertThat(settings.limits().drainWaitMillis(), is(250L));
     assertThat(settings.reachable("10.0.0.1:8301"), is("127.0.0.1:9301"));
     assertThat(settings.reachable("10.0.0.2:8301"), is("10.0.0.2:8301"));
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/backend/Announcement.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/backend/Announcement.java
@@ -51,6 +51,24 @@
     }
   }
 
+  /** Returns a later announcement of the same server that it wants no new work. */
+  public Announcement asLeaving() {
+    return new Announcement(
+        database,
+        server,
+        address,
+        failureDomain,
+        region,
+        role,
+        position,
+        ageMillis,
+        slots,
+        connectionLimit,
+        true,
+        incarnation,
+        sequence + 1);
+  }
+
   /**
    * Tells whether this announcement was made after another one of the same server.
    *
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/backend/BackendRegistry.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/backend/BackendRegistry.java
@@ -17,6 +17,21 @@
   public static final long LAPSE_MILLIS = 3_000;
 
   private final ConcurrentMap<String, BackendGroup> groups = new ConcurrentHashMap<>();
+  private final long lapseMillis;
+
+  /** Creates a registry that drops servers after {@link #LAPSE_MILLIS}. */
+  public BackendRegistry() {
+    this(LAPSE_MILLIS);
+  }
+
+  /**
+   * Creates a registry.
+   *
+   * @param lapseMillis how long a server is kept after its latest announcement, in milliseconds
+   */
+  public BackendRegistry(long lapseMillis) {
+    this.lapseMillis = lapseMillis;
+  }
 
   /**
    * Takes in an announcement.
@@ -27,7 +42,7 @@
    * @return whether the announcement was news
    */
   public boolean announce(Announcement announcement, long ageMillis, long now) {
-    if (ageMillis >= LAPSE_MILLIS) {
+    if (ageMillis >= lapseMillis) {
       return false;
     }
     boolean news =
@@ -64,8 +79,7 @@
    */
   public void expire(long now) {
     for (String database : groups.keySet()) {
-      groups.computeIfPresent(
-          database, (name, group) -> group.withoutOlderThan(now - LAPSE_MILLIS));
+      groups.computeIfPresent(database, (name, group) -> group.withoutOlderThan(now - lapseMillis));
     }
   }
 
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusMessage.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusMessage.java
@@ -83,6 +83,15 @@
   record AppendReply(long term, VoterId follower, boolean success, long matchIndex, long sentMillis)
       implements ConsensusMessage {}
 
+  /**
+   * Tells the leader of a member that receives no entries, so that it is taken in.
+   *
+   * @param term the sender's term
+   * @param member the sender
+   * @param forwarded whether another member passed it on to the leader that it knows
+   */
+  record JoinRequest(long term, VoterId member, boolean forwarded) implements ConsensusMessage {}
+
   /**
    * Asks a follower to stand for election at once, because the leader is about to stop.
    *
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusNode.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusNode.java
@@ -53,6 +53,7 @@
   private long heardFromLeaderMillis;
   private long nextHeartbeatMillis;
   private long leaderSinceMillis;
+  private long nextJoinMillis;
   private final Set<String> votes = new HashSet<>();
   private final Map<String, Progress> followers = new HashMap<>();
 
@@ -81,10 +82,12 @@
     private long nextIndex;
     private long matchIndex;
     private long answeredSentMillis = Long.MIN_VALUE;
+    private long heardMillis;
     private @Nullable String identity;
 
-    Progress(long nextIndex) {
+    Progress(long nextIndex, long now) {
       this.nextIndex = nextIndex;
+      this.heardMillis = now;
     }
   }
 
@@ -177,8 +180,13 @@
   public Output tick(long now) {
     if (role == Role.LEADER) {
       tickLeader(now);
-    } else if (now >= electionDeadlineMillis) {
-      startTrial(now);
+    } else {
+      if (now >= nextJoinMillis && isLeftOut(now)) {
+        askToJoin(now);
+      }
+      if (now >= electionDeadlineMillis) {
+        startTrial(now);
+      }
     }
     return drain();
   }
@@ -212,6 +220,7 @@
       case SnapshotRequest request -> onSnapshotRequest(request, now);
       case AppendReply reply -> onAppendReply(reply, now);
       case TransferRequest request -> onTransferRequest(request, now);
+      case ConsensusMessage.JoinRequest request -> onJoinRequest(request, now);
     }
     return drain();
   }
@@ -256,7 +265,9 @@
       return;
     }
     if (now >= nextHeartbeatMillis) {
+      forgetSilentMembers(now);
       replaceLostIdentities();
+      removeSilentVoter(now);
       sendToAll(now);
       advanceCommit(now);
     }
@@ -382,11 +393,10 @@
     leader = self.name();
     leaderSinceMillis = now;
     followers.clear();
-    for (String name : members) {
-      if (!name.equals(self.name())) {
-        followers.put(name, new Progress(log.lastIndex() + 1));
-      }
-    }
+    Set<String> names = new HashSet<>(members);
+    names.addAll(log.voters().names());
+    names.remove(self.name());
+    names.forEach(name -> followers.put(name, new Progress(log.lastIndex() + 1, now)));
     appendAsLeader(new LogEntry.Noop());
     sendToAll(now);
     advanceCommit(now);
@@ -492,6 +502,7 @@
     if (role != Role.LEADER || reply.term() != term || progress == null) {
       return;
     }
+    progress.heardMillis = now;
     progress.answeredSentMillis = Math.max(progress.answeredSentMillis, reply.sentMillis());
     if (!reply.follower().identity().equals(progress.identity)) {
       progress.identity = reply.follower().identity();
@@ -609,6 +620,69 @@
     }
   }
 
+  /** Removes a voter that has been silent, as long as enough others remain. */
+  private void removeSilentVoter(long now) {
+    boolean changePending = log.votersIndex() > commitIndex || log.term(commitIndex) != term;
+    if (changePending || log.voters().identities().size() <= ConsensusTimings.MIN_VOTERS) {
+      return;
+    }
+    for (String name : log.voters().names()) {
+      Progress progress = followers.get(name);
+      boolean silent =
+          !name.equals(self.name())
+              && (progress == null
+                  || now - progress.heardMillis >= ConsensusTimings.SILENT_VOTER_MILLIS);
+      if (silent) {
+        appendAsLeader(new LogEntry.Voters(log.voters().without(name)));
+        return;
+      }
+    }
+  }
+
+  private void forgetSilentMembers(long now) {
+    followers
+        .entrySet()
+        .removeIf(
+            entry ->
+                !log.voters().names().contains(entry.getKey())
+                    && now - entry.getValue().heardMillis >= ConsensusTimings.SILENT_MEMBER_MILLIS);
+  }
+
+  private void onJoinRequest(ConsensusMessage.JoinRequest request, long now) {
+    if (request.member().name().equals(self.name())) {
+      return;
+    }
+    if (role != Role.LEADER) {
+      if (leader != null && !leader.equals(request.member().name()) && !request.forwarded()) {
+        sends.add(
+            new Send(
+                leader, new ConsensusMessage.JoinRequest(request.term(), request.member(), true)));
+      }
+      return;
+    }
+    Progress progress =
+        followers.computeIfAbsent(
+            request.member().name(), name -> new Progress(log.lastIndex() + 1, now));
+    progress.heardMillis = now;
+    sendTo(request.member().name(), progress, now);
+  }
+
+  private boolean isLeftOut(long now) {
+    boolean silence = now >= heardFromLeaderMillis + ConsensusTimings.ELECTION_MIN_MILLIS;
+    boolean newcomer = leader == null && !log.voters().contains(self);
+    return silence || newcomer;
+  }
+
+  /** Asks all known members to be taken in, while none of them sends entries. */
+  private void askToJoin(long now) {
+    nextJoinMillis = now + ConsensusTimings.JOIN_MILLIS;
+    Set<String> names = new HashSet<>(members);
+    names.addAll(log.voters().names());
+    names.remove(self.name());
+    ConsensusMessage.JoinRequest request = new ConsensusMessage.JoinRequest(term, self, false);
+    names.forEach(name -> sends.add(new Send(name, request)));
+  }
+
   private void setTerm(long newTerm, @Nullable String vote) {
     boolean changed = newTerm != term || !Objects.equals(vote, votedFor);
     term = newTerm;
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusTimings.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusTimings.java
@@ -18,5 +18,20 @@
    */
   public static final long LEADER_LEASE_MILLIS = 900;
 
+  /** How often a member that hears from no leader asks to be taken in. */
+  public static final long JOIN_MILLIS = 300;
+
+  /**
+   * How long a voter may be silent before it is removed, if enough others are left. Longer than a
+   * restart, shorter than the time after which a replacement must count.
+   */
+  public static final long SILENT_VOTER_MILLIS = 2_500;
+
+  /** How long a member without a vote may be silent before the leader forgets it. */
+  public static final long SILENT_MEMBER_MILLIS = 15_000;
+
+  /** Silent voters are only removed while more than this many remain. */
+  public static final int MIN_VOTERS = 3;
+
   private ConsensusTimings() {}
 }
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/FailoverAction.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/FailoverAction.java
@@ -27,6 +27,16 @@
       String database, long term, String server, String address, long minOffset, long waitMillis)
       implements FailoverAction {}
 
+  /**
+   * Ask the outside service to promote a server.
+   *
+   * @param database the database
+   * @param term the term
+   * @param server the name of the server
+   * @param fence the fence of the attempt
+   */
+  record Promote(String database, long term, String server, long fence) implements FailoverAction {}
+
   /**
    * Order a server into a term.
    *
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/FailoverCoordinator.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/FailoverCoordinator.java
@@ -1,5 +1,7 @@
 package org.cowslipdale.core.failover;
 
+import static java.util.Objects.requireNonNull;
+
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -20,11 +22,27 @@
  */
 public final class FailoverCoordinator {
 
+  private final Promotion promotion;
   private final Map<String, GroupFailover> groups = new HashMap<>();
   private final Map<String, List<ProbeReport>> reports = new HashMap<>();
   private final Map<ProbeReport, Set<String>> reporters = new HashMap<>();
+  private final Map<String, List<ProbeReport>> reached = new HashMap<>();
   private final Map<String, Long> termVersions = new HashMap<>();
 
+  /** Creates a coordinator that orders the servers itself. */
+  public FailoverCoordinator() {
+    this(new Promotion.ByServer());
+  }
+
+  /**
+   * Creates a coordinator.
+   *
+   * @param promotion who carries promotions out
+   */
+  public FailoverCoordinator(Promotion promotion) {
+    this.promotion = requireNonNull(promotion, "promotion");
+  }
+
   /**
    * Replaces the reports of a VM.
    *
@@ -41,6 +59,18 @@
     }
   }
 
+  /**
+   * Replaces what a VM reports of the primaries that it uses.
+   *
+   * @param vm the name of the VM
+   * @param failing the primaries that it cannot reach
+   * @param answering the primaries that answered it a moment ago
+   */
+  public void report(String vm, List<ProbeReport> failing, List<ProbeReport> answering) {
+    report(vm, failing);
+    reached.put(vm, List.copyOf(answering));
+  }
+
   /**
    * Advances all changes of primary.
    *
@@ -61,7 +91,7 @@
     groups.keySet().retainAll(view.configuration().databases().keySet());
     for (Database database : view.configuration().databases().values()) {
       String name = database.name();
-      GroupFailover group = groups.computeIfAbsent(name, GroupFailover::new);
+      GroupFailover group = groups.computeIfAbsent(name, key -> new GroupFailover(key, promotion));
       actions.addAll(
           group.tick(
               new GroupFailover.Situation(
@@ -115,6 +145,20 @@
     return group == null ? Optional.empty() : group.promoted(term, server, startOffset, now);
   }
 
+  /**
+   * Takes in the answer of the outside service to a promotion.
+   *
+   * @param asked the promotion
+   * @param accepted whether the service accepted it; false if it refused it
+   * @param now the present time on the leader's monotonic clock, in milliseconds
+   */
+  public void promotionAnswered(FailoverAction.Promote asked, boolean accepted, long now) {
+    GroupFailover group = groups.get(asked.database());
+    if (group != null) {
+      group.promotionAnswered(asked, accepted, now);
+    }
+  }
+
   private void forget(String vm, ProbeReport report) {
     Set<String> vms = reporters.get(report);
     if (vms != null && vms.remove(vm) && vms.isEmpty()) {
@@ -124,11 +168,14 @@
 
   /** A primary is suspect when most of the probing VMs that hold a lease cannot reach it. */
   private boolean isSuspect(View view, String database, Set<String> leaseHolders) {
-    Set<String> reporting =
-        reporters.get(new ProbeReport(database, view.database(database).term()));
+    ProbeReport report = new ProbeReport(database, view.database(database).term());
+    Set<String> reporting = reporters.get(report);
     if (reporting == null) {
       return false;
     }
+    if (promotion instanceof Promotion.ByService) {
+      return isOutvoted(report, reporting, leaseHolders);
+    }
     int asked = 0;
     int failed = 0;
     for (String vm : ProbeAssignment.probers(view, database)) {
@@ -140,6 +187,16 @@
     return failed * 2 > asked;
   }
 
+  /** VMs that use the primary have voted; one that reaches it weighs as much as one that fails. */
+  private boolean isOutvoted(ProbeReport report, Set<String> failing, Set<String> leaseHolders) {
+    long failed = leaseHolders.stream().filter(failing::contains).count();
+    long answered =
+        leaseHolders.stream()
+            .filter(vm -> reached.getOrDefault(vm, List.of()).contains(report))
+            .count();
+    return failed > answered;
+  }
+
   private boolean isTermInForce(View view, String database, LongPredicate inForce) {
     return inForce.test(termVersions.getOrDefault(database, view.version()));
   }
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
@@ -1,13 +1,17 @@
 package org.cowslipdale.core.failover;
 
+import static java.util.Objects.requireNonNull;
+
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import org.cowslipdale.core.backend.BackendGroup;
 import org.cowslipdale.core.backend.BackendServer;
 import org.cowslipdale.core.backend.ServerRole;
@@ -34,7 +38,14 @@
   private static final long FOLLOW_INTERVAL_MILLIS = 1_000;
   private static final long STALE_REPLICA_MILLIS = 2_000;
 
+  /** How long an outside service may take to answer before it is asked again, in milliseconds. */
+  private static final long SERVICE_RETRY_MILLIS = 1_500;
+
+  /** How long a promotion by an outside service may take before another one is begun. */
+  private static final long SERVICE_TIMEOUT_MILLIS = 6_000;
+
   private final String database;
+  private final Promotion promotion;
   private final Map<String, Long> orderedMillis = new HashMap<>();
   private final Map<String, LogPosition> positions = new HashMap<>();
   private Step step = Step.STEADY;
@@ -42,6 +53,9 @@
   private long ownTerm;
   private @Nullable String formerPrimary;
   private @Nullable String chosen;
+  private boolean accepted;
+  private long askedServiceMillis;
+  private final Set<String> refused = new HashSet<>();
   private long completedMillis = Long.MIN_VALUE / 2;
   private long completedTerm;
 
@@ -73,8 +87,9 @@
       boolean termInForce,
       long now) {}
 
-  GroupFailover(String database) {
+  GroupFailover(String database, Promotion promotion) {
     this.database = database;
+    this.promotion = promotion;
   }
 
   /** Advances the change of primary and returns what is to be done. */
@@ -86,7 +101,7 @@
       case FENCING -> fencing(situation, actions);
       case READING -> reading(situation, actions);
       case CATCHING_UP -> catchingUp(situation, actions);
-      case PROMOTING -> promoting(situation);
+      case PROMOTING -> promoting(situation, actions);
       case COMPLETING -> completing(situation);
     }
     return actions;
@@ -110,6 +125,21 @@
             new ViewCommand.CompleteTerm(database, term, server, startOffset)));
   }
 
+  /** Takes in the answer of the outside service. */
+  void promotionAnswered(FailoverAction.Promote asked, boolean acceptedByService, long now) {
+    boolean current =
+        step == Step.PROMOTING && asked.term() == ownTerm && asked.server().equals(chosen);
+    if (!current) {
+      return;
+    }
+    if (acceptedByService) {
+      accepted = true;
+    } else {
+      refused.add(asked.server());
+      restart(now);
+    }
+  }
+
   private void steady(Situation situation, List<FailoverAction> actions) {
     DatabaseState state = situation.state();
     if (completedTerm != state.completedTerm()) {
@@ -128,8 +158,7 @@
 
   private boolean needsChange(Situation situation) {
     DatabaseState state = situation.state();
-    boolean enoughServers = situation.group().servers().size() >= situation.declared().majority();
-    if (!enoughServers) {
+    if (!hasEnoughServers(situation)) {
       return false;
     }
     String primary = state.primary();
@@ -144,6 +173,15 @@
     return situation.suspect() || demoted || (leaving && hasSuccessor(situation, primary));
   }
 
+  private boolean hasEnoughServers(Situation situation) {
+    int known = situation.group().servers().size();
+    return switch (promotion) {
+      case Promotion.ByServer ordered -> known >= situation.declared().majority();
+      case Promotion.ByService service ->
+          situation.state().primary() == null ? known >= 1 : known >= 2;
+    };
+  }
+
   private static boolean hasSuccessor(Situation situation, String primary) {
     return situation.group().servers().values().stream()
         .anyMatch(server -> !server.name().equals(primary) && !server.announcement().leaving());
@@ -162,18 +200,47 @@
       return;
     }
     positions.clear();
+    Optional<BackendServer> present = presentPrimary(situation);
+    if (present.isPresent()) {
+      String primary = present.get().name();
+      enter(Step.COMPLETING, situation.now());
+      actions.add(
+          new FailoverAction.Propose(new ViewCommand.CompleteTerm(database, ownTerm, primary, 0)));
+      return;
+    }
     enter(Step.READING, situation.now());
     for (BackendServer server : situation.group().servers().values()) {
-      actions.add(query(server, 0, 0));
+      if (isAskedForPosition(server)) {
+        actions.add(query(server, 0, 0));
+      }
     }
   }
 
+  /** Returns the primary that a group of an outside service had before this fleet knew it. */
+  private Optional<BackendServer> presentPrimary(Situation situation) {
+    boolean first =
+        promotion instanceof Promotion.ByService && situation.state().starts().isEmpty();
+    return first
+        ? situation.group().servers().values().stream()
+            .filter(server -> server.announcement().role() == ServerRole.PRIMARY)
+            .findFirst()
+        : Optional.empty();
+  }
+
+  /** A suspect primary would only delay the answers of the others. */
+  private boolean isAskedForPosition(BackendServer server) {
+    return promotion instanceof Promotion.ByServer || !server.name().equals(formerPrimary);
+  }
+
   private void reading(Situation situation, List<FailoverAction> actions) {
     if (abandonedByOthers(situation)) {
       return;
     }
-    boolean all = positions.keySet().containsAll(situation.group().servers().keySet());
-    boolean majority = positions.size() >= situation.declared().majority();
+    boolean all =
+        situation.group().servers().values().stream()
+            .filter(this::isAskedForPosition)
+            .allMatch(server -> positions.containsKey(server.name()));
+    boolean majority = positions.size() >= positionsNeeded(situation);
     long waited = situation.now() - stepMillis;
     if (majority && (all || waited >= PrimaryProbe.TIMEOUT_MILLIS / 2)) {
       enter(Step.CATCHING_UP, situation.now());
@@ -183,6 +250,17 @@
     }
   }
 
+  /** A commit is acknowledged by the primary and as many replicas as the group waits for. */
+  private int positionsNeeded(Situation situation) {
+    return switch (promotion) {
+      case Promotion.ByServer ordered -> situation.declared().majority();
+      case Promotion.ByService service ->
+          situation.declared().synchronousReplicas() == 0
+              ? 1
+              : situation.declared().servers() - situation.declared().synchronousReplicas();
+    };
+  }
+
   /** Prefers a healthy server, and waits a moment for it to reach the highest position. */
   private void catchingUp(Situation situation, List<FailoverAction> actions) {
     if (abandonedByOthers(situation)) {
@@ -210,8 +288,19 @@
       return;
     }
     chosen = server.get().name();
+    accepted = false;
     enter(Step.PROMOTING, situation.now());
-    actions.add(order(server.get(), ownTerm, null));
+    switch (promotion) {
+      case Promotion.ByServer ordered -> actions.add(order(server.get(), ownTerm, null));
+      case Promotion.ByService service -> askService(situation, actions);
+    }
+  }
+
+  private void askService(Situation situation, List<FailoverAction> actions) {
+    askedServiceMillis = situation.now();
+    actions.add(
+        new FailoverAction.Promote(
+            database, ownTerm, requireNonNull(chosen, "chosen"), situation.state().fence()));
   }
 
   private List<FailoverAction> queryPreferred(Situation situation, LogPosition highest) {
@@ -231,14 +320,49 @@
 
   private List<BackendServer> candidates(Situation situation) {
     List<BackendServer> candidates = new ArrayList<>(situation.group().servers().values());
-    candidates.removeIf(server -> !positions.containsKey(server.name()));
+    candidates.removeIf(
+        server -> !positions.containsKey(server.name()) || refused.contains(server.name()));
     candidates.sort(Comparator.comparing(BackendServer::name));
     return candidates;
   }
 
-  private void promoting(Situation situation) {
-    if (!abandonedByOthers(situation) && isOverdue(situation.now())) {
+  private void promoting(Situation situation, List<FailoverAction> actions) {
+    if (abandonedByOthers(situation)) {
+      return;
+    }
+    switch (promotion) {
+      case Promotion.ByServer ordered -> {
+        if (isOverdue(situation.now())) {
+          restart(situation.now());
+        }
+      }
+      case Promotion.ByService service -> promotingByService(situation, actions);
+    }
+  }
+
+  /**
+   * Completes the term once the service has accepted the promotion and the server leads.
+   *
+   * <p>The acceptance is needed too: from then on the service refuses every older call that it may
+   * still carry out late.
+   */
+  private void promotingByService(Situation situation, List<FailoverAction> actions) {
+    String server = requireNonNull(chosen, "chosen");
+    boolean leads =
+        situation
+            .group()
+            .server(server)
+            .map(known -> known.announcement().role() == ServerRole.PRIMARY)
+            .orElse(false);
+    if (accepted && leads) {
+      refused.clear();
+      enter(Step.COMPLETING, situation.now());
+      actions.add(
+          new FailoverAction.Propose(new ViewCommand.CompleteTerm(database, ownTerm, server, 0)));
+    } else if (situation.now() - stepMillis >= SERVICE_TIMEOUT_MILLIS) {
       restart(situation.now());
+    } else if (!accepted && situation.now() - askedServiceMillis >= SERVICE_RETRY_MILLIS) {
+      askService(situation, actions);
     }
   }
 
@@ -269,6 +393,9 @@
 
   /** Orders servers that do not hold the current history to follow the primary. */
   private void orderFollowers(Situation situation, List<FailoverAction> actions) {
+    if (promotion instanceof Promotion.ByService) {
+      return;
+    }
     DatabaseState state = situation.state();
     Optional<BackendServer> primary =
         state.primary() == null ? Optional.empty() : situation.group().server(state.primary());
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/PrimaryProbe.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/PrimaryProbe.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 
 /** Counts the failed probes of primaries on one VM; confined to one thread. */
-public final class PrimaryProbe {
+public final class PrimaryProbe implements PrimaryReports {
 
   /** How often a primary is probed, in milliseconds. */
   public static final long INTERVAL_MILLIS = 300;
@@ -49,8 +49,13 @@
     counts.keySet().retainAll(databases);
   }
 
-  /** Returns the primaries that this VM cannot reach. */
-  public List<ProbeReport> reports() {
+  @Override
+  public List<ProbeReport> reached(long now) {
+    return List.of();
+  }
+
+  @Override
+  public List<ProbeReport> failing(long now) {
     List<ProbeReport> reports = new ArrayList<>();
     counts.forEach(
         (database, count) -> {
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/result/ResultCode.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/result/ResultCode.java
@@ -42,6 +42,8 @@
   TRANSACTION_ABORTED(1011, 409, Outcome.NOT_RUN, "The transaction was aborted."),
   /** The request body or header exceeds its limit. */
   REQUEST_TOO_LARGE(1012, 413, Outcome.NOT_RUN, "The request is too large."),
+  /** The session has not prepared a statement of this name. */
+  STATEMENT_NOT_PREPARED(1013, 404, Outcome.NOT_RUN, "The prepared statement does not exist."),
 
   /** The customer has used up its rate and burst. */
   RATE_EXCEEDED(2001, 429, Outcome.NOT_RUN, "The customer's rate is used up."),
@@ -67,6 +69,12 @@
   /** The write ran on the primary but was not replicated in time. */
   REPLICATION_UNCONFIRMED(
       3006, 504, Outcome.UNKNOWN, "The write ran, but its replication was not confirmed."),
+  /** The backend server ran the statement and reported a failure. */
+  STATEMENT_RUN_FAILED(
+      3008, 502, Outcome.UNKNOWN, "The backend server ran the statement and it failed."),
+  /** The statement did not end within its limit. */
+  STATEMENT_TIMED_OUT(
+      3009, 504, Outcome.UNKNOWN, "The statement was sent and did not end in time."),
   /** The VM that holds the transaction could not be reached. */
   VM_UNREACHABLE(3007, 504, Outcome.UNKNOWN, "The VM that holds the transaction is unreachable."),
 
--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionDemand.java
@@ -0,0 +1,26 @@
+package org.cowslipdale.core.routing;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Set;
+import org.cowslipdale.core.session.LogPosition;
+import org.cowslipdale.core.view.Freshness;
+
+/**
+ * What a statement or transaction of a session needs from a server.
+ *
+ * @param write whether it may write
+ * @param freshness how recent the data of its reads must be
+ * @param seen the latest position that the session has committed, in terms of the servers' log
+ * @param tried the servers that already declined it
+ */
+public record SessionDemand(
+    boolean write, Freshness freshness, LogPosition seen, Set<String> tried) {
+
+  /** Copies the set and asserts that every component is set. */
+  public SessionDemand {
+    requireNonNull(freshness, "freshness");
+    requireNonNull(seen, "seen");
+    tried = Set.copyOf(tried);
+  }
+}
--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
@@ -0,0 +1,155 @@
+package org.cowslipdale.core.routing;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.cowslipdale.core.backend.BackendGroup;
+import org.cowslipdale.core.backend.BackendServer;
+import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.session.LogPosition;
+import org.cowslipdale.core.view.DatabaseState;
+import org.cowslipdale.core.view.Freshness;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses the server for statements of sessions.
+ *
+ * <p>A server of this kind checks a position when it is asked to, and refuses writes once it is no
+ * longer primary. Reads of the latest data need more: the primary of the view under a valid lease.
+ * Reads of a stated age may run on any server whose log contains a position that the primary stated
+ * recently enough.
+ */
+public final class SessionRouter {
+
+  /** Time between the choice of a sample and the first byte at the server, in milliseconds. */
+  private static final long AGE_MARGIN_MILLIS = 20;
+
+  /** Requests that a nearer server may have more than another before it is passed over. */
+  private static final int LOAD_STEP = 2;
+
+  private final String failureDomain;
+  private final String region;
+  private final ServerLoad load;
+
+  /**
+   * Creates a router.
+   *
+   * @param failureDomain the failure domain of this VM
+   * @param region the region of this VM
+   * @param load the load and health of servers as seen by this VM
+   */
+  public SessionRouter(String failureDomain, String region, ServerLoad load) {
+    this.failureDomain = requireNonNull(failureDomain, "failureDomain");
+    this.region = requireNonNull(region, "region");
+    this.load = requireNonNull(load, "load");
+  }
+
+  /**
+   * Decides where a statement runs at the present time.
+   *
+   * @param demand what it needs
+   * @param group the known servers of the database
+   * @param state the term and primary of the database in the VM's view
+   * @param lease until when the VM may rely on its view
+   * @param sample the latest position that the primary stated, if any
+   * @param now the present time on the VM's monotonic clock, in milliseconds
+   */
+  public SessionTarget route(
+      SessionDemand demand,
+      BackendGroup group,
+      DatabaseState state,
+      LeaseStatus lease,
+      @Nullable PositionSample sample,
+      long now) {
+    if (demand.write()) {
+      return primary(group, state, demand, false);
+    }
+    long allowedAge = allowedAgeMillis(demand.freshness());
+    boolean usable =
+        sample != null
+            && sample.term() == state.term()
+            && now - sample.sentMillis() + AGE_MARGIN_MILLIS <= allowedAge;
+    if (usable) {
+      Optional<SessionTarget> target = anyServer(demand, group, state, lease, sample, now);
+      if (target.isPresent()) {
+        return target.get();
+      }
+    }
+    return lease.isValid(now)
+        ? primary(group, state, demand, true)
+        : new SessionTarget.Wait(ResultCode.NO_LEASE);
+  }
+
+  private static long allowedAgeMillis(Freshness freshness) {
+    return switch (freshness) {
+      case Freshness.BoundedAge bounded -> bounded.maxAgeMillis();
+      case Freshness.Latest latest -> Long.MIN_VALUE;
+      case Freshness.Session session -> Long.MAX_VALUE;
+      case Freshness.AnyAge any -> Long.MAX_VALUE;
+    };
+  }
+
+  private static SessionTarget primary(
+      BackendGroup group, DatabaseState state, SessionDemand demand, boolean leaseNeeded) {
+    String primary = state.primary();
+    Optional<BackendServer> server = primary == null ? Optional.empty() : group.server(primary);
+    if (server.isEmpty() || demand.tried().contains(primary)) {
+      return new SessionTarget.Wait(ResultCode.NO_PRIMARY);
+    }
+    return new SessionTarget.RunOn(server.get(), state.term(), true, null, leaseNeeded);
+  }
+
+  private Optional<SessionTarget> anyServer(
+      SessionDemand demand,
+      BackendGroup group,
+      DatabaseState state,
+      LeaseStatus lease,
+      PositionSample sample,
+      long now) {
+    List<BackendServer> candidates = new ArrayList<>();
+    for (BackendServer server : group.servers().values()) {
+      boolean suits =
+          !server.announcement().leaving()
+              && !demand.tried().contains(server.name())
+              && !load.isEjected(server.name(), group.servers().keySet(), now);
+      if (suits) {
+        candidates.add(server);
+      }
+    }
+    return candidates.stream()
+        .min(preference(state))
+        .map(
+            server -> {
+              boolean leased = server.name().equals(state.primary()) && lease.isValid(now);
+              LogPosition after = leased ? null : required(demand, sample);
+              return new SessionTarget.RunOn(
+                  server, state.term(), server.name().equals(state.primary()), after, leased);
+            });
+  }
+
+  /** A position of an earlier term that survived is part of any position of a later one. */
+  private static LogPosition required(SessionDemand demand, PositionSample sample) {
+    return demand.seen().max(sample.position());
+  }
+
+  /** Stays in the region, spares the primary, and prefers the failure domain at equal load. */
+  private Comparator<BackendServer> preference(DatabaseState state) {
+    return Comparator.comparing((BackendServer server) -> !isInRegion(server))
+        .thenComparingInt(server -> load(server, state))
+        .thenComparing(server -> !server.announcement().failureDomain().equals(failureDomain))
+        .thenComparing(BackendServer::name);
+  }
+
+  private boolean isInRegion(BackendServer server) {
+    return server.announcement().region().equals(region);
+  }
+
+  /** The load in steps; the primary counts as busier, for it alone takes writes. */
+  private int load(BackendServer server, DatabaseState state) {
+    int steps = load.outstanding(server.name()) / LOAD_STEP;
+    return server.name().equals(state.primary()) ? steps + 1 : steps;
+  }
+}
--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionTarget.java
@@ -0,0 +1,34 @@
+package org.cowslipdale.core.routing;
+
+import org.cowslipdale.core.backend.BackendServer;
+import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.session.LogPosition;
+import org.jspecify.annotations.Nullable;
+
+/** Where a statement of a session runs, or why it cannot run now. */
+public sealed interface SessionTarget {
+
+  /**
+   * Run it on a server.
+   *
+   * @param server the server
+   * @param term the term of the view in which it was chosen
+   * @param asPrimary whether it was chosen as the primary of that term
+   * @param after the position that the server's log must contain, or null
+   * @param leaseNeeded whether the answer counts only if the lease is still valid when it arrives
+   */
+  record RunOn(
+      BackendServer server,
+      long term,
+      boolean asPrimary,
+      @Nullable LogPosition after,
+      boolean leaseNeeded)
+      implements SessionTarget {}
+
+  /**
+   * No server suits now, but one may soon.
+   *
+   * @param code the code to report if none does
+   */
+  record Wait(ResultCode code) implements SessionTarget {}
+}
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/view/Configuration.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/view/Configuration.java
@@ -15,12 +15,19 @@
  * @param customers the customers
  * @param openRoutes the routes open to all
  * @param databases the database groups
+ * @param sessionRoutes what callers' sessions may open
+ * @param transactionIdleMillis how long a transaction of a session may stay idle, in milliseconds
  */
 public record Configuration(
     Map<String, WorkClass> classes,
     Map<String, Customer> customers,
     Map<String, OpenRoute> openRoutes,
-    Map<String, Database> databases) {
+    Map<String, Database> databases,
+    Map<String, SessionRoute> sessionRoutes,
+    long transactionIdleMillis) {
+
+  /** How long a transaction may stay idle if nothing else is declared, in milliseconds. */
+  public static final long DEFAULT_TRANSACTION_IDLE_MILLIS = 30_000;
 
   /** A configuration that declares nothing. */
   public static final Configuration EMPTY =
@@ -32,6 +39,23 @@
     customers = Map.copyOf(customers);
     openRoutes = Map.copyOf(openRoutes);
     databases = Map.copyOf(databases);
+    sessionRoutes = Map.copyOf(sessionRoutes);
+  }
+
+  /**
+   * Creates a configuration without session routes.
+   *
+   * @param classes the classes of work
+   * @param customers the customers
+   * @param openRoutes the routes open to all
+   * @param databases the database groups
+   */
+  public Configuration(
+      Map<String, WorkClass> classes,
+      Map<String, Customer> customers,
+      Map<String, OpenRoute> openRoutes,
+      Map<String, Database> databases) {
+    this(classes, customers, openRoutes, databases, Map.of(), DEFAULT_TRANSACTION_IDLE_MILLIS);
   }
 
   /**
@@ -61,7 +85,9 @@
         merge(classes, change.putClasses(), change.removeClasses(), WorkClass::name),
         merge(customers, change.putCustomers(), change.removeCustomers(), Customer::name),
         merge(openRoutes, change.putOpenRoutes(), change.removeOpenRoutes(), OpenRoute::name),
-        merge(databases, change.putDatabases(), change.removeDatabases(), Database::name));
+        merge(databases, change.putDatabases(), change.removeDatabases(), Database::name),
+        sessionRoutes,
+        transactionIdleMillis);
   }
 
   /**
@@ -93,6 +119,12 @@
     for (OpenRoute route : openRoutes.values()) {
       problems.addAll(problems(route));
     }
+    for (SessionRoute route : sessionRoutes.values()) {
+      if (!databases.containsKey(route.database())) {
+        problems.add(
+            "session route %s uses unknown database %s".formatted(route.name(), route.database()));
+      }
+    }
     return problems;
   }
 
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/view/DatabaseState.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/view/DatabaseState.java
@@ -11,8 +11,11 @@
  * @param primary the backend server that is primary in {@code term}, or null while a change of
  *     primary is under way
  * @param starts the start of every recent completed term, oldest first
+ * @param fence the version of the view at which {@code term} began; grows with every attempt to
+ *     change the primary and is never used twice
  */
-public record DatabaseState(long term, @Nullable String primary, List<TermStart> starts) {
+public record DatabaseState(
+    long term, @Nullable String primary, List<TermStart> starts, long fence) {
 
   /** A group that has had no primary yet. */
   public static final DatabaseState INITIAL = new DatabaseState(0, null, List.of());
@@ -24,6 +27,17 @@
     starts = List.copyOf(starts.subList(Math.max(0, starts.size() - MAX_STARTS), starts.size()));
   }
 
+  /**
+   * Creates a state whose term began before fences were recorded.
+   *
+   * @param term the highest term begun
+   * @param primary the primary, or null while a change of primary is under way
+   * @param starts the start of every recent completed term, oldest first
+   */
+  public DatabaseState(long term, @Nullable String primary, List<TermStart> starts) {
+    this(term, primary, starts, 0);
+  }
+
   /**
    * Where a completed term began.
    *
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/view/KeyDigester.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/view/KeyDigester.java
@@ -60,6 +60,31 @@
     return Optional.ofNullable(view.configuration().customers().get(key.customer()));
   }
 
+  /**
+   * Returns the stored form of a key whose whole text is secret.
+   *
+   * @param text the key
+   * @param customer the customer to whom the key is given
+   */
+  public static ApiKey digestWhole(String text, String customer) {
+    String digest = HexFormat.of().formatHex(sha256("", text));
+    return new ApiKey(digest, customer, "", digest);
+  }
+
+  /**
+   * Returns the customer to whom a key was given whose whole text is secret.
+   *
+   * @param view the view that holds the known keys
+   * @param presented the key text that came with the request
+   * @return the customer, or empty if the key is unknown or withdrawn
+   */
+  public static Optional<Customer> authenticateWhole(View view, String presented) {
+    ApiKey key = view.keys().get(HexFormat.of().formatHex(sha256("", presented)));
+    return key == null
+        ? Optional.empty()
+        : Optional.ofNullable(view.configuration().customers().get(key.customer()));
+  }
+
   private static boolean matches(ApiKey key, String secret) {
     byte[] expected = HexFormat.of().parseHex(key.digest());
     return MessageDigest.isEqual(expected, sha256(key.salt(), secret));
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/view/View.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/view/View.java
@@ -23,6 +23,7 @@
  * @param keys the keys that are in use, by key id
  * @param databases the terms and primaries, by database name
  * @param vms the registered VMs, by name
+ * @param document the configuration as operators sent it, if it was replaced as a whole
  */
 public record View(
     long version,
@@ -30,11 +31,12 @@
     Configuration configuration,
     Map<String, ApiKey> keys,
     Map<String, DatabaseState> databases,
-    Map<String, VmRecord> vms) {
+    Map<String, VmRecord> vms,
+    DeclaredDocument document) {
 
   /** The view before the first command. */
   public static final View EMPTY =
-      new View(0, 0, Configuration.EMPTY, Map.of(), Map.of(), Map.of());
+      new View(0, 0, Configuration.EMPTY, Map.of(), Map.of(), Map.of(), DeclaredDocument.NONE);
 
   /** How long after its proposal a change of the set of claim holders takes effect. */
   public static final long CLAIM_CHANGE_DELAY_MILLIS = 10_000;
@@ -48,6 +50,27 @@
     keys = Map.copyOf(keys);
     databases = Map.copyOf(databases);
     vms = Map.copyOf(vms);
+    requireNonNull(document, "document");
+  }
+
+  /**
+   * Creates a view without a declared document.
+   *
+   * @param version the number of commands accepted so far
+   * @param configurationVersion the number of configuration changes accepted so far
+   * @param configuration what operators declared
+   * @param keys the keys that are in use, by key id
+   * @param databases the terms and primaries, by database name
+   * @param vms the registered VMs, by name
+   */
+  public View(
+      long version,
+      long configurationVersion,
+      Configuration configuration,
+      Map<String, ApiKey> keys,
+      Map<String, DatabaseState> databases,
+      Map<String, VmRecord> vms) {
+    this(version, configurationVersion, configuration, keys, databases, vms, DeclaredDocument.NONE);
   }
 
   /**
@@ -59,6 +82,7 @@
   public Transition apply(ViewCommand command) {
     return switch (command) {
       case ViewCommand.ChangeConfiguration change -> changeConfiguration(change);
+      case ViewCommand.ReplaceConfiguration replacement -> replaceConfiguration(replacement);
       case ViewCommand.AddKey add -> addKey(add.key());
       case ViewCommand.WithdrawKey withdraw -> withdrawKey(withdraw.keyId());
       case ViewCommand.RemoveVm remove -> removeVm(remove.vm(), remove.proposedAtMillis());
@@ -85,6 +109,13 @@
         .toList();
   }
 
+  /** Returns how many members serve callers, and at least 1. */
+  public int callerVms() {
+    long serving =
+        vms.values().stream().filter(VmRecord::active).filter(VmRecord::servesCallers).count();
+    return (int) Math.max(1, serving);
+  }
+
   private Transition changeConfiguration(ViewCommand.ChangeConfiguration command) {
     if (command.expectedVersion() != configurationVersion) {
       return rejected(
@@ -102,10 +133,34 @@
     Map<String, DatabaseState> states = new HashMap<>(databases);
     states.keySet().retainAll(next.databases().keySet());
     return accepted(
-        new View(version + 1, configurationVersion + 1, next, remainingKeys, states, vms),
+        new View(version + 1, configurationVersion + 1, next, remainingKeys, states, vms, document),
         "Configuration version %d is accepted.".formatted(configurationVersion + 1));
   }
 
+  /** Takes the highest version; an older or equal one is acknowledged and changes nothing. */
+  private Transition replaceConfiguration(ViewCommand.ReplaceConfiguration command) {
+    long wanted = command.document().version();
+    if (wanted <= document.version()) {
+      return new Transition(
+          this,
+          ResultCode.OK,
+          "Configuration version %d is in force already.".formatted(document.version()));
+    }
+    Configuration next = command.configuration();
+    List<String> problems = next.problems();
+    if (!problems.isEmpty()) {
+      return rejected(ResultCode.INVALID_CHANGE, String.join("; ", problems));
+    }
+    Map<String, ApiKey> nextKeys = new HashMap<>();
+    command.keys().forEach(key -> nextKeys.put(key.id(), key));
+    Map<String, DatabaseState> states = new HashMap<>(databases);
+    states.keySet().retainAll(next.databases().keySet());
+    return accepted(
+        new View(
+            version + 1, configurationVersion + 1, next, nextKeys, states, vms, command.document()),
+        "Configuration version %d is accepted.".formatted(wanted));
+  }
+
   private Transition addKey(ApiKey key) {
     if (!configuration.customers().containsKey(key.customer())) {
       return rejected(
@@ -145,7 +200,8 @@
             vm.peerAddress(),
             claimsFrom,
             Long.MAX_VALUE,
-            true);
+            true,
+            vm.servesCallers());
     if (Objects.equals(known, next)) {
       return rejected(ResultCode.INVALID_CHANGE, "VM %s is unchanged.".formatted(vm.name()));
     }
@@ -180,7 +236,8 @@
             known.peerAddress(),
             known.claimsFromMillis(),
             now + CLAIM_CHANGE_DELAY_MILLIS,
-            false);
+            false,
+            known.servesCallers());
     return accepted(withVms(put(vms, name, removed)), "VM %s is removed.".formatted(name));
   }
 
@@ -192,7 +249,7 @@
           ResultCode.INVALID_CHANGE,
           "Term %d of database %s cannot begin.".formatted(command.term(), command.database()));
     }
-    DatabaseState next = new DatabaseState(command.term(), null, state.starts());
+    DatabaseState next = new DatabaseState(command.term(), null, state.starts(), version + 1);
     return accepted(
         withDatabases(put(databases, command.database(), next)),
         "Term %d of database %s began.".formatted(command.term(), command.database()));
@@ -208,7 +265,8 @@
     }
     List<TermStart> starts = new ArrayList<>(state.starts());
     starts.add(new TermStart(command.term(), command.startOffset()));
-    DatabaseState next = new DatabaseState(command.term(), command.primary(), starts);
+    DatabaseState next =
+        new DatabaseState(command.term(), command.primary(), starts, state.fence());
     return accepted(
         withDatabases(put(databases, command.database(), next)),
         "Server %s is primary of database %s in term %d."
@@ -216,15 +274,17 @@
   }
 
   private View withKeys(Map<String, ApiKey> next) {
-    return new View(version + 1, configurationVersion, configuration, next, databases, vms);
+    return new View(
+        version + 1, configurationVersion, configuration, next, databases, vms, document);
   }
 
   private View withDatabases(Map<String, DatabaseState> next) {
-    return new View(version + 1, configurationVersion, configuration, keys, next, vms);
+    return new View(version + 1, configurationVersion, configuration, keys, next, vms, document);
   }
 
   private View withVms(Map<String, VmRecord> next) {
-    return new View(version + 1, configurationVersion, configuration, keys, databases, next);
+    return new View(
+        version + 1, configurationVersion, configuration, keys, databases, next, document);
   }
 
   private static <T> Map<String, T> put(Map<String, T> base, String name, T value) {
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/view/ViewCommand.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/view/ViewCommand.java
@@ -1,5 +1,7 @@
 package org.cowslipdale.core.view;
 
+import java.util.List;
+
 /** A change of the view, as it is replicated in the control log. */
 public sealed interface ViewCommand {
 
@@ -24,6 +26,23 @@
       String requestId, long proposedAtMillis, long expectedVersion, ConfigurationChange change)
       implements OperatorCommand {}
 
+  /**
+   * Replaces the whole configuration and all keys if its version is higher than the present one.
+   *
+   * @param document the configuration as the operator sent it
+   * @param configuration what it declares
+   * @param keys the keys that it declares
+   */
+  record ReplaceConfiguration(
+      DeclaredDocument document, Configuration configuration, List<ApiKey> keys)
+      implements ViewCommand {
+
+    /** Copies the keys. */
+    public ReplaceConfiguration {
+      keys = List.copyOf(keys);
+    }
+  }
+
   /**
    * Adds a customer's key.
    *
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/view/VmRecord.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/view/VmRecord.java
@@ -14,6 +14,7 @@
  * @param claimsUntilMillis the wall-clock time until which it holds request claims, or {@link
  *     Long#MAX_VALUE}
  * @param active whether the VM is a member; inactive records are kept while their claims matter
+ * @param servesCallers whether callers connect to it, so that it shares servers' connections
  */
 public record VmRecord(
     String name,
@@ -22,7 +23,8 @@
     String peerAddress,
     long claimsFromMillis,
     long claimsUntilMillis,
-    boolean active) {
+    boolean active,
+    boolean servesCallers) {
 
   /** Asserts that every component is set. */
   public VmRecord {
@@ -31,4 +33,36 @@
     requireNonNull(region, "region");
     requireNonNull(peerAddress, "peerAddress");
   }
+
+  /**
+   * Creates the record of a VM that serves callers.
+   *
+   * @param name the unique VM name
+   * @param failureDomain the failure domain in which it runs
+   * @param region the region in which it runs
+   * @param peerAddress host and port on which it accepts connections from other VMs
+   * @param claimsFromMillis the wall-clock time from which it holds request claims, in milliseconds
+   *     since the epoch
+   * @param claimsUntilMillis the wall-clock time until which it holds request claims, or {@link
+   *     Long#MAX_VALUE}
+   * @param active whether the VM is a member
+   */
+  public VmRecord(
+      String name,
+      String failureDomain,
+      String region,
+      String peerAddress,
+      long claimsFromMillis,
+      long claimsUntilMillis,
+      boolean active) {
+    this(
+        name,
+        failureDomain,
+        region,
+        peerAddress,
+        claimsFromMillis,
+        claimsUntilMillis,
+        active,
+        true);
+  }
 }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/DatabaseConnector.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/DatabaseConnector.java
@@ -8,7 +8,7 @@
  *
  * <p>The methods block the calling (virtual) thread.
  */
-public interface DatabaseConnector {
+public interface DatabaseConnector extends ServerStatusClient {
 
   /**
    * Opens a connection.
@@ -19,15 +19,6 @@
    */
   BackendConnection connect(String address, long timeoutMillis) throws BackendException;
 
-  /**
-   * Asks a server for its state, over a new connection.
-   *
-   * @param address the address of the server
-   * @param timeoutMillis how long to wait, in milliseconds
-   * @throws BackendException if the server does not answer
-   */
-  ServerStatus status(String address, long timeoutMillis) throws BackendException;
-
   /**
    * Orders a server into a term.
    *
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/HttpDatabaseConnector.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/HttpDatabaseConnector.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientAgent;
@@ -14,13 +13,8 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.io.IOException;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
-import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import org.cowslipdale.config.codec.Codecs;
 import org.cowslipdale.config.protocol.BackendAnswer;
@@ -33,9 +27,6 @@
 
   private static final ObjectMapper JSON = Codecs.json();
 
-  /** How often the wait for an answer checks that the answer would still be useful. */
-  private static final long USELESS_CHECK_MILLIS = 100;
-
   private final Vertx vertx;
   private final HttpClientAgent client;
   private final UnaryOperator<String> reachable;
@@ -63,7 +54,8 @@
     Context context = vertx.getOrCreateContext();
     try {
       HttpClientConnection connection =
-          await(onEventLoop(context, () -> client.connect(options)), timeoutMillis);
+          EventLoopCalls.await(
+              EventLoopCalls.onEventLoop(context, () -> client.connect(options)), timeoutMillis);
       return new HttpBackendConnection(context, connection);
     } catch (IOException e) {
       throw new BackendException(false, e);
@@ -71,8 +63,8 @@
   }
 
   @Override
-  public ServerStatus status(String address, long timeoutMillis) throws BackendException {
-    return exchange(address, "/status", new PromotionCall(0, null), timeoutMillis);
+  public ServerStatus status(ServerRef server, long timeoutMillis) throws BackendException {
+    return exchange(server.address(), "/status", new PromotionCall(0, null), timeoutMillis);
   }
 
   @Override
@@ -104,30 +96,20 @@
     try {
       Buffer body = Buffer.buffer(JSON.writeValueAsBytes(message));
       Future<Buffer> answer =
-          onEventLoop(
+          EventLoopCalls.onEventLoop(
               vertx.getOrCreateContext(),
               () ->
                   client
                       .request(options)
                       .compose(request -> request.send(body))
                       .compose(HttpDatabaseConnector::successBody));
-      return JSON.readValue(await(answer, timeoutMillis).getBytes(), ServerStatus.class);
+      return JSON.readValue(
+          EventLoopCalls.await(answer, timeoutMillis).getBytes(), ServerStatus.class);
     } catch (IOException e) {
       throw new BackendException(true, e);
     }
   }
 
-  /**
-   * Runs an exchange on an event loop from its start.
-   *
-   * <p>Composed from another thread, it could attach the handler of a body after the body arrived.
-   */
-  private static <T> Future<T> onEventLoop(Context context, Supplier<Future<T>> exchange) {
-    Promise<T> promise = Promise.promise();
-    context.runOnContext(ignored -> exchange.get().onComplete(promise));
-    return promise.future();
-  }
-
   private static Future<Buffer> successBody(HttpClientResponse response) {
     return response
         .body()
@@ -139,35 +121,6 @@
                         new IOException("status " + response.statusCode() + ": " + body)));
   }
 
-  private static <T> T await(Future<T> future, long timeoutMillis) throws IOException {
-    return awaitUnless(future, timeoutMillis, () -> false);
-  }
-
-  /** Waits until the future completes, the time is up, or its value would be useless. */
-  private static <T> T awaitUnless(Future<T> future, long timeoutMillis, BooleanSupplier useless)
-      throws IOException {
-    CompletableFuture<T> completion = future.toCompletionStage().toCompletableFuture();
-    long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
-    try {
-      while (true) {
-        long leftNanos = deadlineNanos - System.nanoTime();
-        long waitNanos = Math.min(leftNanos, TimeUnit.MILLISECONDS.toNanos(USELESS_CHECK_MILLIS));
-        try {
-          return completion.get(waitNanos, TimeUnit.NANOSECONDS);
-        } catch (TimeoutException e) {
-          if (System.nanoTime() >= deadlineNanos || useless.getAsBoolean()) {
-            throw new IOException("no answer in time", e);
-          }
-        }
-      }
-    } catch (ExecutionException e) {
-      throw new IOException(e.getCause());
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      throw new IOException("interrupted", e);
-    }
-  }
-
   private String host(String announced) {
     String address = reachable.apply(announced);
     return address.substring(0, address.lastIndexOf(':'));
@@ -200,14 +153,14 @@
         RequestOptions options =
             new RequestOptions().setMethod(HttpMethod.POST).setURI(operation.path());
         Future<Buffer> answer =
-            onEventLoop(
+            EventLoopCalls.onEventLoop(
                 context,
                 () ->
                     connection
                         .request(options)
                         .compose(request -> request.send(body))
                         .compose(HttpDatabaseConnector::successBody));
-        byte[] received = awaitUnless(answer, timeoutMillis, useless).getBytes();
+        byte[] received = EventLoopCalls.awaitUnless(answer, timeoutMillis, useless).getBytes();
         BackendAnswer parsed = JSON.readValue(received, BackendAnswer.class);
         if (!parsed.call().equals(call.call())) {
           throw new IOException("the answer belongs to call " + parsed.call());
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/AnnouncementRelay.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/AnnouncementRelay.java
@@ -59,6 +59,17 @@
     }
   }
 
+  /** Takes in that a backend server has left for good. */
+  void left(String server) {
+    for (String database : registry.databases()) {
+      registry
+          .group(database)
+          .server(server)
+          .map(known -> known.announcement().asLeaving())
+          .ifPresent(this::announced);
+    }
+  }
+
   /** Takes in announcements that another VM received. */
   void relayed(Announcements announcements) {
     long now = clock.millis();
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlLink.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlLink.java
@@ -3,8 +3,10 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import org.cowslipdale.daemon.peer.PeerHandler;
 import org.cowslipdale.daemon.peer.PeerMessage;
@@ -20,7 +22,7 @@
 
   private final String self;
   private final PeerNetwork network;
-  private final List<String> voters;
+  private volatile List<String> voters;
   private volatile PeerHandler local = (from, message, reply) -> {};
   private volatile String target;
 
@@ -30,7 +32,21 @@
     List<String> sorted = new ArrayList<>(voters);
     sorted.sort(null);
     this.voters = List.copyOf(sorted);
-    this.target = voters.contains(self) ? self : this.voters.getFirst();
+    this.target = sorted.contains(self) || sorted.isEmpty() ? self : sorted.getFirst();
+  }
+
+  /** Adds VMs that keep the control log to those that are tried when the leader is lost. */
+  void learn(Collection<String> names) {
+    if (!voters.containsAll(names)) {
+      Set<String> all = new TreeSet<>(voters);
+      all.addAll(names);
+      voters = List.copyOf(all);
+    }
+  }
+
+  /** Replaces the VMs that are tried when the leader is lost. */
+  void replace(Collection<String> names) {
+    voters = List.copyOf(new TreeSet<>(names));
   }
 
   void setLocalHandler(PeerHandler handler) {
@@ -64,10 +80,11 @@
     if (!target.equals(wrong)) {
       return;
     }
-    if (hint != null && voters.contains(hint) && !hint.equals(wrong)) {
+    List<String> known = voters;
+    if (hint != null && !hint.equals(wrong)) {
       target = hint;
-    } else {
-      target = voters.get((voters.indexOf(wrong) + 1) % voters.size());
+    } else if (!known.isEmpty()) {
+      target = known.get((known.indexOf(wrong) + 1) % known.size());
     }
   }
 }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlPlane.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlPlane.java
@@ -5,7 +5,9 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vertx.core.Future;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -17,10 +19,15 @@
 import org.cowslipdale.core.claim.ClaimTable;
 import org.cowslipdale.core.claim.RequestId;
 import org.cowslipdale.core.failover.PrimaryProbe;
+import org.cowslipdale.core.failover.Promotion;
+import org.cowslipdale.core.result.CowslipException;
 import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.view.ApiKey;
+import org.cowslipdale.core.view.Configuration;
+import org.cowslipdale.core.view.DeclaredDocument;
 import org.cowslipdale.core.view.ViewCommand;
 import org.cowslipdale.core.view.VmRecord;
-import org.cowslipdale.daemon.connection.DatabaseConnector;
+import org.cowslipdale.daemon.adapter.Operations;
 import org.cowslipdale.daemon.peer.PeerMessage;
 import org.cowslipdale.daemon.peer.PeerMessage.ChangeReply;
 import org.cowslipdale.daemon.peer.PeerMessage.ClaimAnswer;
@@ -50,14 +57,14 @@
  *
  * <p>Except where stated, the public methods may be called from any thread.
  */
-public final class ControlPlane implements AutoCloseable {
+public final class ControlPlane implements Operations, AutoCloseable {
 
   private static final Logger LOG = LoggerFactory.getLogger(ControlPlane.class);
   private static final ObjectMapper JSON = Codecs.json();
   private static final long TICK_MILLIS = 25;
   private static final long EXPIRY_MILLIS = 1_000;
   private static final long CHANGE_TIMEOUT_MILLIS = 3_000;
-  private static final long QUERY_TIMEOUT_MILLIS = 1_000;
+  private static final long QUERY_TIMEOUT_MILLIS = 800;
 
   private final DaemonSettings settings;
   private final PeerNetwork network;
@@ -66,7 +73,7 @@
   private final ControlThread control = new ControlThread();
   private final ControlLink link;
   private final ViewClient viewClient;
-  private final Prober prober;
+  private final @Nullable Prober prober;
   private final AnnouncementRelay relay;
   private final ClaimTable claims;
   private final FleetRateLimiter limiter;
@@ -84,7 +91,7 @@
    * @param network the connections to other VMs
    * @param views where the view is published
    * @param registry the backend servers that announced themselves
-   * @param connector reaches backend servers
+   * @param access how backend servers are observed and promoted
    * @param tracing creates spans
    * @param clock the clocks of the VM
    * @param onStorageFailure runs when the durable state can no longer be written
@@ -95,7 +102,7 @@
       PeerNetwork network,
       ViewHolder views,
       BackendRegistry registry,
-      DatabaseConnector connector,
+      BackendAccess access,
       Tracing tracing,
       VmClock clock,
       Runnable onStorageFailure) {
@@ -104,8 +111,8 @@
     this.registry = requireNonNull(registry, "registry");
     this.clock = requireNonNull(clock, "clock");
     String vm = settings.vm().name();
-    this.link = new ControlLink(vm, network, settings.voters().keySet());
-    PrimaryProbe probe = new PrimaryProbe();
+    Set<String> logKeepers = logKeepers(settings);
+    this.link = new ControlLink(vm, network, logKeepers);
     VmRecord self =
         new VmRecord(
             vm,
@@ -114,9 +121,20 @@
             settings.listen().peers(),
             0,
             Long.MAX_VALUE,
-            true);
-    this.viewClient = new ViewClient(self, link, views, probe, control, clock);
-    this.prober = new Prober(vm, views, registry, connector, probe, control, viewClient::renew);
+            true,
+            settings.listen().callers().isPresent() || settings.listen().sessions().isPresent());
+    switch (access) {
+      case BackendAccess.Direct direct -> {
+        PrimaryProbe probe = new PrimaryProbe();
+        this.viewClient = new ViewClient(self, link, views, probe, control, clock);
+        this.prober =
+            new Prober(vm, views, registry, direct.connector(), probe, control, viewClient::renew);
+      }
+      case BackendAccess.Adapted adapted -> {
+        this.viewClient = new ViewClient(self, link, views, adapted.evidence(), control, clock);
+        this.prober = null;
+      }
+    }
     this.relay = new AnnouncementRelay(vm, registry, views, link, clock);
     this.claims = new ClaimTable(clock.wallMillis());
     this.limiter = new FleetRateLimiter(link, views, clock);
@@ -127,10 +145,13 @@
             ? null
             : new Voter(
                 vm,
-                settings.voters().keySet(),
+                logKeepers,
                 store,
                 registry,
-                new FailoverExecutor(connector, control),
+                new FailoverExecutor(settings.vm().label(), access, control),
+                access instanceof BackendAccess.Direct
+                    ? new Promotion.ByServer()
+                    : new Promotion.ByService(),
                 clock,
                 link::send,
                 onStorageFailure);
@@ -164,11 +185,49 @@
     return forwarder;
   }
 
+  /** Renews the lease at once, because this VM has news for the control leader. */
+  public void renewNow() {
+    control.execute(viewClient::renew);
+  }
+
   /**
-   * Takes in an announcement of a backend server.
+   * Replaces the VMs that are tried when the control leader is lost.
    *
-   * @param announcement the announcement
+   * @param seeds the peer addresses of some VMs that keep the control log
    */
+  public void setSeeds(List<String> seeds) {
+    control.execute(() -> link.learn(seeds));
+  }
+
+  @Override
+  public CompletableFuture<ResultCode> replaceConfiguration(
+      DeclaredDocument document, Configuration configuration, List<ApiKey> keys) {
+    return propose(new ViewCommand.ReplaceConfiguration(document, configuration, keys))
+        .thenApply(
+            reply ->
+                reply.result() != null
+                    ? reply.result().code()
+                    : Optional.ofNullable(reply.failure())
+                        .orElse(ResultCode.CHANGE_OUTCOME_UNKNOWN));
+  }
+
+  @Override
+  public CompletableFuture<DeclaredDocument> newestDocument() {
+    return link.ask(link.leader(), new PeerMessage.DocumentQuery(), QUERY_TIMEOUT_MILLIS)
+        .thenCompose(
+            reply ->
+                reply instanceof PeerMessage.DocumentReply found && found.document() != null
+                    ? CompletableFuture.completedFuture(found.document())
+                    : CompletableFuture.failedFuture(
+                        new CowslipException(ResultCode.NO_LEADER, ResultCode.NO_LEADER.text())));
+  }
+
+  @Override
+  public void left(String server) {
+    control.execute(() -> relay.left(server));
+  }
+
+  @Override
   public void announced(Announcement announcement) {
     control.execute(() -> relay.announced(announcement));
   }
@@ -219,6 +278,12 @@
     network.close();
   }
 
+  private static Set<String> logKeepers(DaemonSettings settings) {
+    return settings.control().seeds().isEmpty()
+        ? settings.control().voters().keySet()
+        : Set.copyOf(settings.control().seeds());
+  }
+
   private static Optional<FleetReply> fleetReply(PeerMessage reply) {
     return reply instanceof FleetReply fleet && fleet.leader() != null
         ? Optional.of(fleet)
@@ -227,7 +292,9 @@
 
   private void startTicks() {
     control.every(TICK_MILLIS, this::tick);
-    control.every(PrimaryProbe.INTERVAL_MILLIS, prober::round);
+    if (prober != null) {
+      control.every(PrimaryProbe.INTERVAL_MILLIS, prober::round);
+    }
     control.every(
         EXPIRY_MILLIS,
         () -> {
@@ -274,6 +341,7 @@
       case PeerMessage.Registration registration -> voter.register(registration.vm());
       case TokenRequest request -> reply.accept(voter.issueTokens(from, request));
       case FleetQuery query -> reply.accept(voter.fleet(query));
+      case PeerMessage.DocumentQuery query -> reply.accept(voter.document());
       case PeerMessage.ChangeRequest change -> voter.propose(change.command()).thenAccept(reply);
       default -> LOG.debug("ignoring {} from {}", message, from);
     }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FailoverExecutor.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FailoverExecutor.java
@@ -7,10 +7,13 @@
 import org.cowslipdale.config.protocol.ServerStatus;
 import org.cowslipdale.core.backend.ServerRole;
 import org.cowslipdale.core.failover.FailoverAction.Order;
+import org.cowslipdale.core.failover.FailoverAction.Promote;
 import org.cowslipdale.core.failover.FailoverAction.QueryPosition;
 import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.daemon.connection.BackendException;
 import org.cowslipdale.daemon.connection.DatabaseConnector;
+import org.cowslipdale.daemon.connection.PromotionService;
+import org.cowslipdale.daemon.connection.ServerRef;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -21,11 +24,13 @@
   private static final long ORDER_TIMEOUT_MILLIS = 1_000;
   private static final long QUERY_TIMEOUT_MILLIS = 600;
 
-  private final DatabaseConnector connector;
+  private final String holder;
+  private final BackendAccess access;
   private final ControlThread control;
 
-  FailoverExecutor(DatabaseConnector connector, ControlThread control) {
-    this.connector = requireNonNull(connector, "connector");
+  FailoverExecutor(String holder, BackendAccess access, ControlThread control) {
+    this.holder = requireNonNull(holder, "holder");
+    this.access = requireNonNull(access, "access");
     this.control = requireNonNull(control, "control");
   }
 
@@ -35,6 +40,12 @@
     void position(QueryPosition query, LogPosition position);
   }
 
+  /** Takes in the answer of the promotion service, on the control thread. */
+  interface PromotionListener {
+
+    void answered(Promote asked, PromotionService.Answer answer);
+  }
+
   void query(QueryPosition query, PositionListener listener) {
     Thread.startVirtualThread(
         () -> {
@@ -50,6 +61,10 @@
 
   /** Sends an order; a confirmed promotion is passed on, on the control thread. */
   void order(Order order, Consumer<ServerStatus> promoted) {
+    if (!(access instanceof BackendAccess.Direct direct)) {
+      throw new IllegalStateException("servers take orders from the promotion service only");
+    }
+    DatabaseConnector connector = direct.connector();
     Thread.startVirtualThread(
         () -> {
           try {
@@ -71,9 +86,45 @@
         });
   }
 
+  /** Asks the promotion service; only answers are passed on. */
+  void promote(Promote promotion, PromotionListener listener) {
+    if (!(access instanceof BackendAccess.Adapted adapted)) {
+      throw new IllegalStateException("there is no promotion service");
+    }
+    LOG.info(
+        "asking for the promotion of server {} of database {} with fence {}",
+        promotion.server(),
+        promotion.database(),
+        promotion.fence());
+    adapted
+        .promotions()
+        .promote(promotion.database(), promotion.server(), holder, promotion.fence())
+        .whenComplete(
+            (answer, failure) -> {
+              if (failure == null) {
+                LOG.info("the promotion of server {} is {}", promotion.server(), answer);
+                control.execute(() -> listener.answered(promotion, answer));
+              } else {
+                LOG.warn(
+                    "the promotion of server {} got no answer: {}",
+                    promotion.server(),
+                    failure.getMessage());
+              }
+            });
+  }
+
   private ServerStatus ask(QueryPosition query) throws BackendException {
+    ServerRef server = new ServerRef(query.database(), query.server(), query.address());
+    return switch (access) {
+      case BackendAccess.Adapted adapted -> adapted.statuses().status(server, QUERY_TIMEOUT_MILLIS);
+      case BackendAccess.Direct direct -> ask(direct.connector(), server, query);
+    };
+  }
+
+  private static ServerStatus ask(
+      DatabaseConnector connector, ServerRef server, QueryPosition query) throws BackendException {
     if (query.minOffset() == 0) {
-      return connector.status(query.address(), QUERY_TIMEOUT_MILLIS);
+      return connector.status(server, QUERY_TIMEOUT_MILLIS);
     }
     return connector.awaitOffset(query.address(), query.minOffset(), query.waitMillis());
   }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Leadership.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Leadership.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.cowslipdale.core.control.LeaseTable;
 import org.cowslipdale.core.failover.FailoverCoordinator;
+import org.cowslipdale.core.failover.Promotion;
 import org.cowslipdale.core.quota.TokenOwner;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.daemon.peer.PeerMessage.ChangeReply;
@@ -14,12 +15,13 @@
 
   private final long term;
   private final LeaseTable leases;
-  private final FailoverCoordinator failover = new FailoverCoordinator();
+  private final FailoverCoordinator failover;
   private final TokenOwner tokens;
   private final Map<Long, CompletableFuture<ChangeReply>> proposals = new HashMap<>();
 
-  Leadership(long term, long electedMillis) {
+  Leadership(long term, Promotion promotion, long electedMillis) {
     this.term = term;
+    this.failover = new FailoverCoordinator(promotion);
     this.leases = new LeaseTable(electedMillis);
     this.tokens = new TokenOwner(electedMillis);
   }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Prober.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Prober.java
@@ -15,6 +15,7 @@
 import org.cowslipdale.core.view.View;
 import org.cowslipdale.daemon.connection.BackendException;
 import org.cowslipdale.daemon.connection.DatabaseConnector;
+import org.cowslipdale.daemon.connection.ServerRef;
 import org.cowslipdale.daemon.version.ViewHolder;
 
 /**
@@ -83,17 +84,17 @@
       record(database, term, false);
       return;
     }
-    String address = server.get().announcement().address();
+    ServerRef target = ServerRef.of(server.get().announcement());
     Thread.startVirtualThread(
         () -> {
-          boolean healthy = isPrimary(address, term);
+          boolean healthy = isPrimary(target, term);
           control.execute(() -> record(database, term, healthy));
         });
   }
 
-  private boolean isPrimary(String address, long term) {
+  private boolean isPrimary(ServerRef server, long term) {
     try {
-      ServerStatus status = connector.status(address, PrimaryProbe.TIMEOUT_MILLIS);
+      ServerStatus status = connector.status(server, PrimaryProbe.TIMEOUT_MILLIS);
       return status.role() == ServerRole.PRIMARY && status.term() == term;
     } catch (BackendException e) {
       return false;
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ViewClient.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ViewClient.java
@@ -4,7 +4,7 @@
 
 import java.util.List;
 import org.cowslipdale.core.control.LeaseTimings;
-import org.cowslipdale.core.failover.PrimaryProbe;
+import org.cowslipdale.core.failover.PrimaryReports;
 import org.cowslipdale.core.view.View;
 import org.cowslipdale.core.view.ViewCommand;
 import org.cowslipdale.core.view.VmRecord;
@@ -28,7 +28,7 @@
   private final VmRecord self;
   private final ControlLink link;
   private final ViewHolder holder;
-  private final PrimaryProbe probe;
+  private final PrimaryReports probe;
   private final ControlThread control;
   private final VmClock clock;
   private boolean asking;
@@ -40,7 +40,7 @@
       VmRecord self,
       ControlLink link,
       ViewHolder holder,
-      PrimaryProbe probe,
+      PrimaryReports probe,
       ControlThread control,
       VmClock clock) {
     this.self = requireNonNull(self, "self");
@@ -77,7 +77,7 @@
   void release() {
     stopping = true;
     LeaseRequest request =
-        new LeaseRequest(holder.get().view().version(), List.of(), clock.millis(), true);
+        new LeaseRequest(holder.get().view().version(), List.of(), List.of(), clock.millis(), true);
     link.send(link.leader(), request);
   }
 
@@ -88,7 +88,8 @@
     nextMillis = now + LeaseTimings.RENEWAL_MILLIS;
     String leader = link.leader();
     LeaseRequest request =
-        new LeaseRequest(holder.get().view().version(), probe.reports(), now, false);
+        new LeaseRequest(
+            holder.get().view().version(), probe.failing(now), probe.reached(now), now, false);
     link.ask(leader, request, ANSWER_TIMEOUT_MILLIS)
         .whenComplete(
             (reply, failure) ->
@@ -112,6 +113,7 @@
   }
 
   private void received(String leader, LeaseReply reply) {
+    link.learn(reply.voters());
     if (!reply.granted() && reply.registered()) {
       wrongLeader(leader, reply.leader());
       return;
@@ -158,6 +160,7 @@
         && known.active()
         && known.failureDomain().equals(self.failureDomain())
         && known.region().equals(self.region())
-        && known.peerAddress().equals(self.peerAddress());
+        && known.peerAddress().equals(self.peerAddress())
+        && known.servesCallers() == self.servesCallers();
   }
 }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -16,12 +16,14 @@
 import org.cowslipdale.core.consensus.Snapshot;
 import org.cowslipdale.core.control.ControlState;
 import org.cowslipdale.core.failover.FailoverAction;
+import org.cowslipdale.core.failover.Promotion;
 import org.cowslipdale.core.quota.TokenOwner;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.view.RateLimit;
 import org.cowslipdale.core.view.View;
 import org.cowslipdale.core.view.ViewCommand;
 import org.cowslipdale.core.view.VmRecord;
+import org.cowslipdale.daemon.connection.PromotionService;
 import org.cowslipdale.daemon.peer.PeerMessage;
 import org.cowslipdale.daemon.peer.PeerMessage.ChangeReply;
 import org.cowslipdale.daemon.peer.PeerMessage.FleetQuery;
@@ -52,6 +54,7 @@
   private final ControlStore store;
   private final BackendRegistry registry;
   private final FailoverExecutor executor;
+  private final Promotion promotion;
   private final VmClock clock;
   private final PeerSender sender;
   private final Runnable onStorageFailure;
@@ -73,6 +76,7 @@
       ControlStore store,
       BackendRegistry registry,
       FailoverExecutor executor,
+      Promotion promotion,
       VmClock clock,
       PeerSender sender,
       Runnable onStorageFailure) {
@@ -80,6 +84,7 @@
     this.store = requireNonNull(store, "store");
     this.registry = requireNonNull(registry, "registry");
     this.executor = requireNonNull(executor, "executor");
+    this.promotion = requireNonNull(promotion, "promotion");
     this.clock = requireNonNull(clock, "clock");
     this.sender = requireNonNull(sender, "sender");
     this.onStorageFailure = requireNonNull(onStorageFailure, "onStorageFailure");
@@ -150,7 +155,7 @@
       current.leases().release(from, now);
       return refusal(request);
     }
-    current.failover().report(from, request.reports());
+    current.failover().report(from, request.reports(), request.reached());
     if (registered) {
       current.leases().grant(from, request.version(), now);
     }
@@ -162,7 +167,8 @@
         request.version(),
         commands.orElse(List.of()),
         commands.isPresent() ? null : view,
-        request.sentMillis());
+        request.sentMillis(),
+        voterNames());
   }
 
   /** Registers a VM unless it is registered as it wants. */
@@ -173,7 +179,8 @@
             && known.active()
             && known.failureDomain().equals(wanted.failureDomain())
             && known.region().equals(wanted.region())
-            && known.peerAddress().equals(wanted.peerAddress());
+            && known.peerAddress().equals(wanted.peerAddress())
+            && known.servesCallers() == wanted.servesCallers();
     if (!same) {
       propose(new ViewCommand.RegisterVm(wanted, clock.wallMillis()));
     }
@@ -234,7 +241,18 @@
         request.version(),
         List.of(),
         null,
-        request.sentMillis());
+        request.sentMillis(),
+        voterNames());
+  }
+
+  private List<String> voterNames() {
+    return List.copyOf(node.voters().names());
+  }
+
+  /** Answers with the newest configuration document, if this VM can be sure of it. */
+  PeerMessage.DocumentReply document() {
+    boolean sure = !failed && leadership != null && node.holdsLeaderLease(clock.millis());
+    return new PeerMessage.DocumentReply(sure ? state.view().document() : null);
   }
 
   /** Stores, sends and applies, in this order. */
@@ -328,7 +346,7 @@
     }
     if (leads && leadership == null) {
       LOG.info("this VM leads the control log in term {}", node.term());
-      leadership = new Leadership(node.term(), clock.millis());
+      leadership = new Leadership(node.term(), promotion, clock.millis());
     }
   }
 
@@ -356,6 +374,8 @@
                   current
                       .failover()
                       .position(asked.database(), asked.term(), asked.server(), position));
+      case FailoverAction.Promote promote ->
+          executor.promote(promote, (asked, answer) -> promotionAnswered(current, asked, answer));
       case FailoverAction.Order order ->
           executor.order(
               order,
@@ -372,6 +392,15 @@
     }
   }
 
+  private void promotionAnswered(
+      Leadership current, FailoverAction.Promote asked, PromotionService.Answer answer) {
+    switch (answer) {
+      case ACCEPTED -> current.failover().promotionAnswered(asked, true, clock.millis());
+      case REFUSED -> current.failover().promotionAnswered(asked, false, clock.millis());
+      case BUSY -> LOG.debug("the promotion service is busy; it is asked again");
+    }
+  }
+
   private static Set<String> leaseHolders(Leadership current, View view, long now) {
     Set<String> holders = new HashSet<>();
     for (VmRecord member : view.activeVms()) {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerMessage.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerMessage.java
@@ -7,6 +7,7 @@
 import org.cowslipdale.core.control.ChangeRecord;
 import org.cowslipdale.core.failover.ProbeReport;
 import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.view.DeclaredDocument;
 import org.cowslipdale.core.view.View;
 import org.cowslipdale.core.view.ViewCommand;
 import org.cowslipdale.core.view.VmRecord;
@@ -35,10 +36,16 @@
    *
    * @param version the version of the view on which the VM acts
    * @param reports the primaries that the VM cannot reach
+   * @param reached the primaries that answered the VM a moment ago
    * @param sentMillis when it was sent, on the VM's monotonic clock
    * @param release whether the VM gives its lease back because it stops
    */
-  record LeaseRequest(long version, List<ProbeReport> reports, long sentMillis, boolean release)
+  record LeaseRequest(
+      long version,
+      List<ProbeReport> reports,
+      List<ProbeReport> reached,
+      long sentMillis,
+      boolean release)
       implements PeerMessage {}
 
   /**
@@ -51,6 +58,7 @@
    * @param commands the accepted commands after that version
    * @param view the whole view, if the commands are not kept any more
    * @param sentMillis the send time of the request, repeated
+   * @param voters the names of the VMs that keep the control log
    */
   record LeaseReply(
       boolean granted,
@@ -59,7 +67,8 @@
       long fromVersion,
       List<ViewCommand> commands,
       @Nullable View view,
-      long sentMillis)
+      long sentMillis,
+      List<String> voters)
       implements PeerMessage {}
 
   /**
@@ -177,6 +186,16 @@
    */
   record FleetQuery(long version, long graceMillis, boolean withHistory) implements PeerMessage {}
 
+  /** Asks the control leader for the newest configuration document. */
+  record DocumentQuery() implements PeerMessage {}
+
+  /**
+   * Answers a query for the newest configuration document.
+   *
+   * @param document the document, or null if the sender cannot be sure that none is newer
+   */
+  record DocumentReply(@Nullable DeclaredDocument document) implements PeerMessage {}
+
   /**
    * Answers a query for the state of the fleet.
    *
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerNetwork.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerNetwork.java
@@ -220,7 +220,11 @@
     }
   }
 
+  /** Without a secret the network is trusted and the proof is empty. */
   private static String proof(String clusterSecret) {
+    if (clusterSecret.isEmpty()) {
+      return "";
+    }
     try {
       Mac mac = Mac.getInstance("HmacSHA256");
       mac.init(new SecretKeySpec(clusterSecret.getBytes(UTF_8), "HmacSHA256"));
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
@@ -7,33 +7,20 @@
 import io.micrometer.core.instrument.binder.system.ProcessorMetrics;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
-import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import java.nio.file.Path;
 import java.util.Optional;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
+import org.cowslipdale.config.ini.SectionReader;
 import org.cowslipdale.config.settings.DaemonSettings;
-import org.cowslipdale.core.admission.RetryBudget;
 import org.cowslipdale.core.backend.BackendRegistry;
-import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.result.CowslipException;
-import org.cowslipdale.core.result.ResultCode;
-import org.cowslipdale.core.routing.DefaultRouter;
-import org.cowslipdale.core.routing.Router;
 import org.cowslipdale.core.view.VmRecord;
-import org.cowslipdale.daemon.connection.BackendPools;
-import org.cowslipdale.daemon.connection.DatabaseConnector;
-import org.cowslipdale.daemon.connection.HttpDatabaseConnector;
+import org.cowslipdale.daemon.adapter.Adapter;
 import org.cowslipdale.daemon.control.ControlPlane;
 import org.cowslipdale.daemon.peer.PeerNetwork;
-import org.cowslipdale.daemon.request.Backends;
-import org.cowslipdale.daemon.request.RequestPath;
 import org.cowslipdale.daemon.storage.ControlStore;
-import org.cowslipdale.daemon.telemetry.RequestMetrics;
 import org.cowslipdale.daemon.telemetry.Tracing;
 import org.cowslipdale.daemon.version.ViewHolder;
 import org.cowslipdale.daemon.version.VmClock;
@@ -45,10 +32,19 @@
 final class Daemon implements AutoCloseable {
 
   private static final Logger LOG = LoggerFactory.getLogger(Daemon.class);
-  private static final long START_TIMEOUT_SECONDS = 20;
   private static final long QUEUE_TICK_MILLIS = 10;
+
+  /** Nothing of the daemon runs on worker threads. */
+  private static final int WORKER_THREADS = 1;
+
   private static final long DRAIN_POLL_MILLIS = 20;
 
+  /** Kept back from the limit of a graceful shutdown for the end of the process. */
+  private static final long EXIT_MARGIN_MILLIS = 600;
+
+  /** How long an adapter's servers are kept after their latest announcement. */
+  private static final long ADAPTED_LAPSE_MILLIS = 12_000;
+
   private final DaemonSettings settings;
   private final VmClock clock = new VmClock();
   private final Vertx vertx;
@@ -56,11 +52,10 @@
   private final PrometheusMeterRegistry meters =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final ViewHolder views;
-  private final BackendRegistry registry = new BackendRegistry();
-  private final BackendPools pools;
+  private final BackendRegistry registry;
   private final @Nullable ControlStore store;
   private final ControlPlane control;
-  private final RequestPath requests;
+  private final CallerPath callers;
   private final Readiness readiness;
   private final AdminServer admin;
 
@@ -68,20 +63,23 @@
    * Wires a daemon.
    *
    * @param settings the checked settings
+   * @param adapter translates for a platform with protocols of its own, if there is one
    * @throws CowslipException if the data folder cannot be used
    */
-  Daemon(DaemonSettings settings) throws CowslipException {
+  Daemon(DaemonSettings settings, Optional<Adapter> adapter) throws CowslipException {
     this.settings = requireNonNull(settings, "settings");
-    Optional<Path> folder = settings.isVoter() ? settings.vm().dataFolder() : Optional.empty();
-    this.store = folder.isPresent() ? ControlStore.open(folder.get()) : null;
-    this.vertx = Vertx.vertx(new VertxOptions().setPreferNativeTransport(false));
+    this.store = settings.keepsLog() ? openStore(settings) : null;
+    this.vertx = vertx(settings);
     this.tracing = new Tracing(settings.observability().traceRatio());
     this.views = new ViewHolder(clock.millis());
-    ServerHealth health = new ServerHealth();
-    DatabaseConnector connector = new HttpDatabaseConnector(vertx, settings::reachable);
-    this.pools =
-        new BackendPools(
-            connector, clock, settings.policy().queue(), settings.limits().maxQueued(), health);
+    this.readiness = new Readiness(views);
+    this.registry =
+        adapter.isPresent() ? new BackendRegistry(ADAPTED_LAPSE_MILLIS) : new BackendRegistry();
+    this.callers =
+        adapter.isPresent()
+            ? new SessionPath(
+                vertx, adapter.get(), settings, views, registry, meters, readiness, clock)
+            : new HttpPath(vertx, settings, views, registry, meters, tracing, clock);
     AtomicLong peerBytes = new AtomicLong();
     PeerNetwork network =
         new PeerNetwork(
@@ -98,51 +96,50 @@
             network,
             views,
             registry,
-            connector,
+            callers.access(),
             tracing,
             clock,
             () -> LOG.error("this VM keeps serving but needs an operator"));
-    Router router =
-        new DefaultRouter(
-            settings.vm().failureDomain(),
-            settings.vm().region(),
-            settings.policy().routing(),
-            pools);
-    Backends backends = new Backends(registry, health, router, pools, connector, new RetryBudget());
-    this.requests =
-        new RequestPath(
-            vertx,
-            settings,
-            views,
-            backends,
-            control.limiter(),
-            control.claims(),
-            control.forwarder(),
-            tracing,
-            new RequestMetrics(meters),
-            clock);
-    this.readiness = new Readiness(views);
+    callers.connect(control);
     this.admin =
         new AdminServer(vertx, settings, control, views, registry, readiness, meters, clock);
     registerGauges(peerBytes);
   }
 
+  private static ControlStore openStore(DaemonSettings settings) throws CowslipException {
+    Path folder = settings.vm().dataFolder().orElseThrow();
+    boolean firstVoter =
+        settings.control().bootstrap()
+            && settings.control().seeds().contains(settings.vm().name())
+            && ControlStore.isEmpty(folder);
+    if (firstVoter) {
+      ControlStore.initialize(folder, settings.control().seeds());
+    }
+    return ControlStore.open(folder);
+  }
+
+  private static Vertx vertx(DaemonSettings settings) {
+    VertxOptions options =
+        new VertxOptions()
+            .setPreferNativeTransport(false)
+            .setEventLoopPoolSize(settings.limits().eventLoops())
+            .setWorkerPoolSize(WORKER_THREADS)
+            .setInternalBlockingPoolSize(WORKER_THREADS);
+    options.getFileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false);
+    return Vertx.vertx(options);
+  }
+
   /**
    * Binds all addresses and starts to serve.
    *
    * @throws CowslipException if an address cannot be bound
    */
   void start() throws CowslipException {
-    await(control.start(requests::runStep), settings.listen().peers());
-    await(admin.start(), settings.listen().admin());
-    await(requests.server().start(), settings.listen().callers());
-    vertx.setPeriodic(
-        QUEUE_TICK_MILLIS,
-        id -> {
-          pools.tick(clock.millis());
-          requests.expireTransactions(clock.millis());
-        });
-    LOG.info("VM {} serves callers on {}", settings.vm().name(), settings.listen().callers());
+    Awaits.bound(control.start(callers::runStep), settings.listen().peers());
+    Awaits.bound(admin.start(), settings.listen().admin());
+    callers.start();
+    vertx.setPeriodic(QUEUE_TICK_MILLIS, id -> callers.tick(clock.millis()));
+    LOG.info("VM {} serves", settings.vm().label());
   }
 
   /**
@@ -154,40 +151,59 @@
     LOG.info("stopping: not ready any more");
     long startedMillis = clock.millis();
     readiness.stop();
-    requests.server().drain();
-    sleepUntil(startedMillis + settings.limits().drainWaitMillis());
-    long limit = startedMillis + settings.limits().drainLimitMillis();
-    while (isBusy() && clock.millis() < limit) {
-      sleepUntil(clock.millis() + DRAIN_POLL_MILLIS);
-    }
-    if (isBusy()) {
-      LOG.warn(
-          "stopping with {} requests and {} transactions in progress",
-          requests.server().inProgress(),
-          requests.openTransactions());
+    long limit = startedMillis + settings.limits().drainLimitMillis() - EXIT_MARGIN_MILLIS;
+    if (servesCallers()) {
+      drainCallers(startedMillis, limit);
     }
-    awaitQuietly(requests.server().stop());
     control.release();
-    awaitQuietly(admin.stop());
+    Awaits.stopped(callers.stop());
+    Awaits.stopped(admin.stop());
     control.close();
-    pools.close();
+    callers.close();
     tracing.close();
-    awaitQuietly(vertx.close());
+    Awaits.stopped(vertx.close());
     if (store != null) {
       store.close();
     }
     LOG.info("stopped after {} ms", clock.millis() - startedMillis);
   }
 
-  private boolean isBusy() {
-    return requests.server().inProgress() > 0 || requests.openTransactions() > 0;
+  /** Takes over the settings that may change while the daemon runs. */
+  void reload(DaemonSettings changed) {
+    control.setSeeds(changed.control().seeds());
+  }
+
+  private boolean servesCallers() {
+    return settings.listen().callers().isPresent() || settings.listen().sessions().isPresent();
+  }
+
+  /** Waits for the balancer, then for callers; open transactions get half of the time. */
+  private void drainCallers(long startedMillis, long limit) {
+    long endTransactions = startedMillis + settings.limits().drainLimitMillis() / 2;
+    sleepUntil(startedMillis + settings.limits().drainWaitMillis());
+    boolean ended = false;
+    callers.drain();
+    while (callers.isBusy() && clock.millis() < limit) {
+      sleepUntil(clock.millis() + DRAIN_POLL_MILLIS);
+      if (!ended && clock.millis() >= endTransactions) {
+        ended = true;
+        callers.endTransactions();
+      }
+      callers.drain();
+    }
+    if (callers.isBusy()) {
+      LOG.warn("stopping with requests or transactions in progress");
+    }
   }
 
   private Optional<String> peerAddress(String vm) {
-    String configured = settings.voters().get(vm);
+    String configured = settings.control().voters().get(vm);
     if (configured != null) {
       return Optional.of(settings.reachable(configured));
     }
+    if (SectionReader.isAddress(vm)) {
+      return Optional.of(settings.reachable(vm));
+    }
     return Optional.ofNullable(views.get().view().vms().get(vm))
         .map(VmRecord::peerAddress)
         .map(settings::reachable);
@@ -209,34 +225,6 @@
     Gauge.builder("cowslipdale.peer.sent.bytes", peerBytes, bytes -> (double) bytes.get())
         .description("Bytes sent to other VMs since the start")
         .register(meters);
-    Gauge.builder("cowslipdale.requests.in.progress", requests.server(), s -> s.inProgress())
-        .description("Requests of callers being served")
-        .register(meters);
-    Gauge.builder("cowslipdale.transactions.open", requests, r -> r.openTransactions())
-        .description("Open transactions that this VM holds")
-        .register(meters);
-  }
-
-  private static void await(Future<Void> future, String address) throws CowslipException {
-    try {
-      future.toCompletionStage().toCompletableFuture().get(START_TIMEOUT_SECONDS, TimeUnit.SECONDS);
-    } catch (ExecutionException | TimeoutException e) {
-      throw new CowslipException(
-          ResultCode.ADDRESS_IN_USE, "cannot bind %s: %s".formatted(address, e.getMessage()), e);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      throw new CowslipException(ResultCode.INTERNAL_ERROR, "interrupted", e);
-    }
-  }
-
-  private static void awaitQuietly(Future<Void> future) {
-    try {
-      future.toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
-    } catch (ExecutionException | TimeoutException e) {
-      LOG.warn("a part did not stop in time", e);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
   }
 
   private void sleepUntil(long untilMillis) {
--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionPath.java
@@ -0,0 +1,163 @@
+package org.cowslipdale.daemon.process;
+
+import static java.util.Objects.requireNonNull;
+
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.cowslipdale.config.settings.DaemonSettings;
+import org.cowslipdale.core.backend.BackendRegistry;
+import org.cowslipdale.core.backend.ServerHealth;
+import org.cowslipdale.core.failover.PrimaryEvidence;
+import org.cowslipdale.core.result.CowslipException;
+import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.routing.SessionRouter;
+import org.cowslipdale.daemon.adapter.Adapter;
+import org.cowslipdale.daemon.adapter.Endpoint;
+import org.cowslipdale.daemon.adapter.Services;
+import org.cowslipdale.daemon.control.BackendAccess;
+import org.cowslipdale.daemon.control.ControlPlane;
+import org.cowslipdale.daemon.request.Reply;
+import org.cowslipdale.daemon.request.TransactionStep;
+import org.cowslipdale.daemon.session.PrimaryChecker;
+import org.cowslipdale.daemon.session.SessionConnector;
+import org.cowslipdale.daemon.session.SessionContext;
+import org.cowslipdale.daemon.session.SessionPools;
+import org.cowslipdale.daemon.session.SessionServer;
+import org.cowslipdale.daemon.version.ViewHolder;
+import org.cowslipdale.daemon.version.VmClock;
+import org.jspecify.annotations.Nullable;
+
+/** Serves callers' sessions through an adapter. */
+final class SessionPath implements CallerPath {
+
+  /** How often the pools of servers that are gone are closed, in milliseconds. */
+  private static final long CLEAN_UP_MILLIS = 1_000;
+
+  private final Vertx vertx;
+  private final Adapter adapter;
+  private final DaemonSettings settings;
+  private final ViewHolder views;
+  private final BackendRegistry registry;
+  private final MeterRegistry meters;
+  private final Readiness readiness;
+  private final VmClock clock;
+  private final ServerHealth health = new ServerHealth();
+  private final PrimaryEvidence evidence = new PrimaryEvidence();
+  private final SessionConnector connector;
+  private final SessionPools pools;
+  private @Nullable SessionServer sessions;
+  private List<Endpoint> endpoints = List.of();
+  private long nextCleanUpMillis;
+
+  SessionPath(
+      Vertx vertx,
+      Adapter adapter,
+      DaemonSettings settings,
+      ViewHolder views,
+      BackendRegistry registry,
+      MeterRegistry meters,
+      Readiness readiness,
+      VmClock clock) {
+    this.vertx = requireNonNull(vertx, "vertx");
+    this.adapter = requireNonNull(adapter, "adapter");
+    this.settings = requireNonNull(settings, "settings");
+    this.views = requireNonNull(views, "views");
+    this.registry = requireNonNull(registry, "registry");
+    this.meters = requireNonNull(meters, "meters");
+    this.readiness = requireNonNull(readiness, "readiness");
+    this.clock = requireNonNull(clock, "clock");
+    this.connector = adapter.sessionConnector(vertx, settings);
+    this.pools = new SessionPools(connector, clock, settings.limits().maxQueued(), health);
+  }
+
+  @Override
+  public BackendAccess access() {
+    return new BackendAccess.Adapted(
+        adapter.statusClient(vertx, settings), adapter.promotionService(vertx, settings), evidence);
+  }
+
+  @Override
+  public void connect(ControlPlane control) {
+    SessionContext context =
+        new SessionContext(
+            views,
+            registry,
+            health,
+            new SessionRouter(settings.vm().failureDomain(), settings.vm().region(), pools),
+            pools,
+            evidence,
+            control.limiter(),
+            clock);
+    PrimaryChecker checker =
+        new PrimaryChecker(views, registry, connector, evidence, clock, control::renewNow);
+    SessionServer server = new SessionServer(context, checker);
+    Gauge.builder("cowslipdale.sessions.open", server, s -> s.open())
+        .description("Sessions of callers that are open")
+        .register(meters);
+    Gauge.builder("cowslipdale.sessions.busy", server, s -> s.busy())
+        .description("Sessions with a statement or a transaction in progress")
+        .register(meters);
+    sessions = server;
+    endpoints =
+        adapter.endpoints(vertx, settings, new Services(server, control, readiness::isReady));
+  }
+
+  @Override
+  public Reply runStep(TransactionStep step) {
+    return new Reply(ResultCode.TRANSACTION_NOT_FOUND.httpStatus(), "{}", null);
+  }
+
+  @Override
+  public void start() throws CowslipException {
+    for (Endpoint endpoint : endpoints) {
+      Awaits.bound(endpoint.start(), endpoint.address());
+    }
+  }
+
+  @Override
+  public void tick(long now) {
+    pools.tick(now);
+    if (now >= nextCleanUpMillis) {
+      nextCleanUpMillis = now + CLEAN_UP_MILLIS;
+      Set<String> known = new HashSet<>();
+      registry
+          .databases()
+          .forEach(database -> known.addAll(registry.group(database).servers().keySet()));
+      pools.retain(known);
+    }
+  }
+
+  @Override
+  public void drain() {
+    sessions().closeIdle();
+  }
+
+  @Override
+  public void endTransactions() {
+    sessions().endTransactions();
+  }
+
+  @Override
+  public boolean isBusy() {
+    return sessions().open() > 0;
+  }
+
+  @Override
+  public Future<Void> stop() {
+    return Future.all(endpoints.stream().map(Endpoint::stop).toList()).mapEmpty();
+  }
+
+  @Override
+  public void close() {
+    pools.close();
+  }
+
+  private SessionServer sessions() {
+    return requireNonNull(sessions, "sessions");
+  }
+}
--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SettingsWatch.java
@@ -0,0 +1,98 @@
+package org.cowslipdale.daemon.process;
+
+import static java.util.Objects.requireNonNull;
+
+import java.io.IOException;
+import java.lang.foreign.FunctionDescriptor;
+import java.lang.foreign.Linker;
+import java.lang.foreign.MemorySegment;
+import java.lang.foreign.ValueLayout;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.cowslipdale.config.ini.IniException;
+import org.cowslipdale.config.ini.IniFile;
+import org.cowslipdale.config.settings.DaemonSettings;
+import org.cowslipdale.config.settings.DaemonSettingsReader;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Reads the settings file again when it has changed.
+ *
+ * <p>The file may change without a signal, so it is looked at periodically, and SIGHUP needs no
+ * handler; it is ignored, because the runtime would stop the daemon otherwise.
+ */
+final class SettingsWatch {
+
+  private static final Logger LOG = LoggerFactory.getLogger(SettingsWatch.class);
+
+  /** Well below the time within which changed seeds may be needed. */
+  private static final long INTERVAL_MILLIS = 1_000;
+
+  private static final int SIGHUP = 1;
+  private static final long IGNORE = 1;
+
+  private final Path file;
+  private final Consumer<DaemonSettings> listener;
+  private final ScheduledExecutorService executor =
+      Executors.newSingleThreadScheduledExecutor(
+          Thread.ofPlatform().name("settings").daemon(true).factory());
+  private String known = "";
+
+  SettingsWatch(Path file, Consumer<DaemonSettings> listener) {
+    this.file = requireNonNull(file, "file");
+    this.listener = requireNonNull(listener, "listener");
+  }
+
+  void start() {
+    ignoreHangup();
+    try {
+      known = Files.readString(file);
+    } catch (IOException e) {
+      LOG.warn("the settings file cannot be read again: {}", e.getMessage());
+    }
+    executor.scheduleWithFixedDelay(
+        this::look, INTERVAL_MILLIS, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void look() {
+    try {
+      String text = Files.readString(file);
+      if (text.equals(known)) {
+        return;
+      }
+      known = text;
+      listener.accept(DaemonSettingsReader.read(IniFile.read(file)));
+      LOG.info("the settings file has changed and was read again");
+    } catch (IOException e) {
+      LOG.warn("the settings file cannot be read; the former settings stay: {}", e.getMessage());
+    } catch (IniException e) {
+      LOG.error("the changed settings are not valid; the former ones stay: {}", e.getMessage());
+    } catch (RuntimeException e) {
+      LOG.error("the changed settings could not be taken over", e);
+    }
+  }
+
+  @SuppressWarnings("restricted")
+  private static void ignoreHangup() {
+    Linker linker = Linker.nativeLinker();
+    FunctionDescriptor type =
+        FunctionDescriptor.of(ValueLayout.ADDRESS, ValueLayout.JAVA_INT, ValueLayout.ADDRESS);
+    try {
+      MemorySegment before =
+          (MemorySegment)
+              linker
+                  .downcallHandle(linker.defaultLookup().findOrThrow("signal"), type)
+                  .invokeExact(SIGHUP, MemorySegment.ofAddress(IGNORE));
+      LOG.debug("SIGHUP is ignored; its former handler was {}", before);
+    } catch (RuntimeException | Error e) {
+      throw e;
+    } catch (Throwable e) {
+      throw new IllegalStateException("SIGHUP cannot be ignored", e);
+    }
+  }
+}
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/CallerServer.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/CallerServer.java
@@ -82,7 +82,7 @@
 
     @Override
     public void start(Promise<Void> started) {
-      String[] address = settings.listen().callers().split(":", 2);
+      String[] address = settings.listen().callers().orElseThrow().split(":", 2);
       HttpServerOptions options =
           new HttpServerOptions()
               .setIdleTimeout(IDLE_TIMEOUT_SECONDS)
--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/CallerSession.java
@@ -0,0 +1,245 @@
+package org.cowslipdale.daemon.session;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.cowslipdale.core.result.RefusalException;
+import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.statement.Statement;
+import org.cowslipdale.core.statement.TransactionState;
+import org.cowslipdale.daemon.version.VmClock;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The conversation with one caller, from its connection to its end, on a virtual thread of its own.
+ *
+ * <p>The methods that take in what the caller sends may be called from any thread, in order.
+ */
+public final class CallerSession {
+
+  private static final Logger LOG = LoggerFactory.getLogger(CallerSession.class);
+
+  /** Statements that a caller may send ahead of their answers. */
+  private static final int MAX_PENDING = 64;
+
+  private final CallerChannel channel;
+  private final SessionGate gate;
+  private final SessionRunner runner;
+  private final IdleLimits limits;
+  private final VmClock clock;
+  private final LinkedBlockingQueue<Event> events = new LinkedBlockingQueue<>(MAX_PENDING);
+  private volatile boolean busy = true;
+  private volatile boolean closed;
+  private volatile boolean transactionOpen;
+
+  /** What the caller sent, or what the VM wants of the session. */
+  private sealed interface Event {
+
+    record Open(String route, @Nullable String key) implements Event {}
+
+    record Run(Statement statement, long receivedMillis) implements Event {}
+
+    record Invalid(RefusalException refusal) implements Event {}
+
+    record Close() implements Event {}
+
+    record CloseIfIdle() implements Event {}
+
+    record EndTransaction() implements Event {}
+  }
+
+  /** How long sessions may be idle at the present time. */
+  interface IdleLimits {
+
+    /** Returns how long a transaction may stay idle, in milliseconds. */
+    long transactionMillis();
+  }
+
+  CallerSession(
+      CallerChannel channel,
+      SessionGate gate,
+      SessionRunner runner,
+      IdleLimits limits,
+      VmClock clock) {
+    this.channel = requireNonNull(channel, "channel");
+    this.gate = requireNonNull(gate, "gate");
+    this.runner = requireNonNull(runner, "runner");
+    this.limits = requireNonNull(limits, "limits");
+    this.clock = requireNonNull(clock, "clock");
+  }
+
+  /**
+   * Takes in that the caller opens its session.
+   *
+   * @param route what it opens
+   * @param key the key that it shows, or null
+   */
+  public void open(String route, @Nullable String key) {
+    add(new Event.Open(route, key));
+  }
+
+  /**
+   * Takes in a statement.
+   *
+   * @param statement the statement
+   */
+  public void statement(Statement statement) {
+    busy = true;
+    add(new Event.Run(statement, clock.millis()));
+  }
+
+  /**
+   * Takes in something that cannot be read as a statement.
+   *
+   * @param refusal what is wrong with it
+   */
+  public void invalid(RefusalException refusal) {
+    add(new Event.Invalid(refusal));
+  }
+
+  /** Takes in that the caller has left. */
+  public void left() {
+    closed = true;
+    if (!events.offer(new Event.Close())) {
+      events.clear();
+      events.offer(new Event.Close());
+    }
+  }
+
+  /** Returns whether the session has a statement or a transaction in progress. */
+  boolean isBusy() {
+    return !closed && (busy || transactionOpen || !events.isEmpty());
+  }
+
+  /** Closes the session as soon as nothing is in progress. */
+  void closeWhenIdle() {
+    events.offer(new Event.CloseIfIdle());
+  }
+
+  /** Ends the open transaction, so that the session becomes idle. */
+  void endTransaction() {
+    events.offer(new Event.EndTransaction());
+  }
+
+  void start(Runnable onEnd) {
+    Thread.startVirtualThread(
+        () -> {
+          try {
+            converse();
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+          } catch (RuntimeException e) {
+            LOG.error("a session failed", e);
+          } finally {
+            closed = true;
+            channel.close();
+            onEnd.run();
+          }
+        });
+  }
+
+  private void add(Event event) {
+    if (!events.offer(event)) {
+      channel.refused(
+          new RefusalException(
+              ResultCode.BAD_REQUEST, "Too many statements were sent ahead of their answers."));
+      left();
+    }
+  }
+
+  private void converse() throws InterruptedException {
+    try (Session session = awaitOpen()) {
+      if (session != null) {
+        channel.opened();
+        serve(session);
+      }
+    }
+  }
+
+  private @Nullable Session awaitOpen() throws InterruptedException {
+    Event first = take();
+    switch (first) {
+      case Event.Open open -> {
+        try {
+          awaitView();
+          gate.authorize(open.route(), open.key());
+          return new Session(open.route(), open.key(), gate, runner);
+        } catch (RefusalException e) {
+          channel.refused(e);
+        }
+      }
+      case Event.Invalid invalid -> channel.refused(invalid.refusal());
+      case Event.Run run ->
+          channel.refused(
+              new RefusalException(ResultCode.BAD_REQUEST, "The session is not open yet."));
+      case Event.Close close -> LOG.debug("a caller left before it opened a session");
+      case Event.CloseIfIdle idle -> LOG.debug("closing a connection without a session");
+      case Event.EndTransaction end -> LOG.debug("closing a connection without a session");
+    }
+    return null;
+  }
+
+  /** A VM that has just started waits for its first view, as long as a caller waits for it. */
+  private void awaitView() throws InterruptedException {
+    long untilMillis = clock.millis() + gate.openWaitMillis();
+    while (!gate.hasView() && clock.millis() < untilMillis && !closed) {
+      Thread.sleep(gate.openWaitMillis() / 20);
+    }
+  }
+
+  private void serve(Session session) throws InterruptedException {
+    while (true) {
+      Event event = next(session);
+      switch (event) {
+        case Event.Run run -> {
+          SessionReply reply = session.execute(run.statement(), run.receivedMillis());
+          transactionOpen = session.state() != TransactionState.IDLE;
+          channel.reply(reply);
+        }
+        case Event.Invalid invalid -> {
+          channel.refused(invalid.refusal());
+          return;
+        }
+        case Event.Open again -> {
+          channel.refused(
+              new RefusalException(ResultCode.BAD_REQUEST, "The session is open already."));
+          return;
+        }
+        case Event.EndTransaction end -> session.abortTransaction();
+        case Event.CloseIfIdle idle -> {
+          if (events.isEmpty() && session.state() == TransactionState.IDLE) {
+            return;
+          }
+        }
+        case Event.Close close -> {
+          return;
+        }
+      }
+    }
+  }
+
+  /** Waits for the next event; a transaction that stays idle for too long is aborted meanwhile. */
+  private Event next(Session session) throws InterruptedException {
+    busy = false;
+    while (true) {
+      if (session.state() != TransactionState.OPEN) {
+        return take();
+      }
+      Event event = events.poll(limits.transactionMillis(), TimeUnit.MILLISECONDS);
+      if (event != null) {
+        busy = true;
+        return event;
+      }
+      session.abortTransaction();
+    }
+  }
+
+  private Event take() throws InterruptedException {
+    Event event = events.take();
+    busy = true;
+    return event;
+  }
+}
--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -0,0 +1,406 @@
+package org.cowslipdale.daemon.session;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import org.cowslipdale.core.result.Outcome;
+import org.cowslipdale.core.result.RefusalException;
+import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.routing.PositionSample;
+import org.cowslipdale.core.routing.SessionDemand;
+import org.cowslipdale.core.routing.SessionTarget;
+import org.cowslipdale.core.routing.SessionTarget.RunOn;
+import org.cowslipdale.core.session.LogPosition;
+import org.cowslipdale.core.statement.ServerFailure;
+import org.cowslipdale.core.statement.ServerReply;
+import org.cowslipdale.core.statement.Statement;
+import org.cowslipdale.core.statement.Statement.PreparedStatement;
+import org.cowslipdale.core.statement.TransactionState;
+import org.cowslipdale.core.view.DatabaseState;
+import org.cowslipdale.daemon.connection.BackendException;
+import org.cowslipdale.daemon.version.CurrentView;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs statements of sessions on backend servers; the methods block the calling (virtual) thread.
+ *
+ * <p>A statement is sent again only if the server said that nothing ran, or if it only reads. Until
+ * its limit has passed, a statement that no server can run yet waits here, because callers give up
+ * an operation after a few quick refusals.
+ */
+final class SessionRunner {
+
+  private static final long FIRST_PAUSE_MILLIS = 4;
+  private static final long LONGEST_PAUSE_MILLIS = 40;
+
+  /** Kept back from the statement's limit, so that the refusal arrives within it. */
+  private static final long ANSWER_MARGIN_MILLIS = 10;
+
+  /** How long the connection of a transaction that was rolled back is kept for the answer. */
+  private static final long ROLLBACK_LIMIT_MILLIS = 1_000;
+
+  private static final Logger LOG = LoggerFactory.getLogger(SessionRunner.class);
+
+  private final SessionContext context;
+  private final PrimaryChecker checker;
+  private final PositionSamples samples = new PositionSamples();
+
+  SessionRunner(SessionContext context, PrimaryChecker checker) {
+    this.context = requireNonNull(context, "context");
+    this.checker = requireNonNull(checker, "checker");
+  }
+
+  /**
+   * What a session asks to be run.
+   *
+   * @param operation the admitted operation
+   * @param statement the statement
+   * @param prepared what it executes, if it executes a prepared statement
+   * @param values the values of the session
+   * @param seen the latest position that the session committed
+   * @param deadlineMillis until when it must be answered, on the VM's monotonic clock
+   */
+  record Job(
+      Operation operation,
+      Statement statement,
+      @Nullable PreparedStatement prepared,
+      Map<String, String> values,
+      LogPosition seen,
+      long deadlineMillis) {
+
+    boolean write() {
+      return switch (statement) {
+        case Statement.Access access -> access.write();
+        case Statement.Execute execute -> prepared != null && prepared.write();
+        case Statement.Begin begin -> !begin.readOnly();
+        default -> true;
+      };
+    }
+  }
+
+  /**
+   * A connection on which a transaction was begun.
+   *
+   * @param lease the connection
+   * @param target the server
+   */
+  record Begun(SessionPool.Lease lease, RunOn target) {}
+
+  /** Runs a single statement. */
+  ServerReply run(Job job) throws RefusalException {
+    return new Attempts<ServerReply>(job) {
+      @Override
+      Optional<ServerReply> attempt(RunOn target, SessionPool.Lease lease)
+          throws RefusalException, BackendException {
+        return single(this, target, lease);
+      }
+    }.run();
+  }
+
+  /** Begins a transaction; the caller owns the connection afterwards. */
+  Begun begin(Job job) throws RefusalException {
+    return new Attempts<Begun>(job) {
+      @Override
+      Optional<Begun> attempt(RunOn target, SessionPool.Lease lease)
+          throws RefusalException, BackendException {
+        return beginOn(this, target, lease);
+      }
+    }.run();
+  }
+
+  /**
+   * Runs a statement within a transaction.
+   *
+   * @throws BackendException if no whole answer arrived; the connection is unusable
+   */
+  ServerReply runWithin(Begun begun, Job job) throws BackendException, RefusalException {
+    long pause = FIRST_PAUSE_MILLIS;
+    while (true) {
+      long sentMillis = context.clock().millis();
+      ServerReply reply = execute(job, begun.lease().session(), null);
+      answered(job, begun.target(), reply, sentMillis);
+      boolean again =
+          reply.failure() == ServerFailure.BUSY && reply.state() == TransactionState.OPEN;
+      if (!again || context.clock().millis() + pause >= job.deadlineMillis()) {
+        return reply;
+      }
+      sleep(pause);
+      pause = Math.min(LONGEST_PAUSE_MILLIS, pause * 2);
+    }
+  }
+
+  /** Rolls a transaction back; the caller need not wait for the server. */
+  void rollBack(Begun begun, Statement.Rollback statement) {
+    Thread.startVirtualThread(
+        () -> {
+          try {
+            ServerReply reply = begun.lease().session().run(statement, null, ROLLBACK_LIMIT_MILLIS);
+            if (reply.failure() == null && reply.state() == TransactionState.IDLE) {
+              begun.lease().markClean();
+            }
+          } catch (BackendException e) {
+            LOG.debug("a rollback was not answered; the connection is closed", e);
+          } finally {
+            begun.lease().close();
+          }
+        });
+  }
+
+  /** The attempts of one statement to find a server that runs it. */
+  private abstract class Attempts<T> {
+
+    private final Job job;
+    private final Set<String> tried = new HashSet<>();
+    private long pauseMillis = FIRST_PAUSE_MILLIS;
+    private ResultCode lastReason = ResultCode.WAIT_LIMIT_REACHED;
+
+    Attempts(Job job) {
+      this.job = job;
+    }
+
+    /** Tries one server; returns empty if the statement did not run there, or only read. */
+    abstract Optional<T> attempt(RunOn target, SessionPool.Lease lease)
+        throws RefusalException, BackendException;
+
+    T run() throws RefusalException {
+      while (true) {
+        switch (route()) {
+          case SessionTarget.Wait wait -> pause(wait.code());
+          case RunOn target -> {
+            Optional<T> result = tryServer(target);
+            if (result.isPresent()) {
+              return result.get();
+            }
+            declined(target);
+          }
+        }
+      }
+    }
+
+    private Optional<T> tryServer(RunOn target) throws RefusalException {
+      SessionPool.Lease lease;
+      try {
+        lease =
+            context
+                .pools()
+                .acquire(
+                    target.server(),
+                    context.views().get().view(),
+                    job.operation().customer(),
+                    job.values(),
+                    job.deadlineMillis() - ANSWER_MARGIN_MILLIS);
+      } catch (BackendException e) {
+        notConnected(target, e);
+        return Optional.empty();
+      } catch (RefusalException e) {
+        lastReason = e.code();
+        if (job.write() || target.leaseNeeded()) {
+          throw e;
+        }
+        return Optional.empty();
+      }
+      try {
+        lease.session().align(job.values(), remaining());
+        return attempt(target, lease);
+      } catch (BackendException e) {
+        lease.close();
+        broken(target, e);
+        return Optional.empty();
+      } catch (RefusalException e) {
+        lease.close();
+        throw e;
+      }
+    }
+
+    private SessionTarget route() {
+      CurrentView current = context.views().get();
+      String database = job.operation().route().database();
+      return context
+          .router()
+          .route(
+              new SessionDemand(
+                  job.write(), job.operation().route().freshness(), job.seen(), tried),
+              context.registry().group(database),
+              current.view().database(database),
+              current.lease(),
+              samples.latest(database),
+              context.clock().millis());
+    }
+
+    private long remaining() {
+      return Math.max(1, job.deadlineMillis() - context.clock().millis());
+    }
+
+    private void notConnected(RunOn target, BackendException e) {
+      String server = target.server().name();
+      lastReason = e.code();
+      boolean refusedBusy =
+          e.failure().filter(failure -> failure == ServerFailure.TOO_MANY_CONNECTIONS).isPresent();
+      if (!refusedBusy) {
+        context.health().failed(server, context.clock().millis());
+        if (target.asPrimary()) {
+          checker.check(job.operation().route().database());
+        }
+      }
+    }
+
+    private void broken(RunOn target, BackendException e) throws RefusalException {
+      String server = target.server().name();
+      context.health().failed(server, context.clock().millis());
+      context.pools().closeIdle(server);
+      if (target.asPrimary()) {
+        checker.check(job.operation().route().database());
+      }
+      lastReason = e.code();
+      boolean mayHaveRun =
+          e.isSent() && job.write() && !(job.statement() instanceof Statement.Begin);
+      if (mayHaveRun) {
+        throw new RefusalException(ResultCode.OUTCOME_UNKNOWN);
+      }
+      if (context.clock().millis() >= job.deadlineMillis() - ANSWER_MARGIN_MILLIS) {
+        throw new RefusalException(
+            e.isSent() ? ResultCode.STATEMENT_TIMED_OUT : ResultCode.WAIT_LIMIT_REACHED);
+      }
+    }
+
+    private void declined(RunOn target) throws RefusalException {
+      tried.add(target.server().name());
+      if (target.leaseNeeded() || job.write()) {
+        pause(lastReason);
+      }
+    }
+
+    private void pause(ResultCode code) throws RefusalException {
+      long now = context.clock().millis();
+      long left = job.deadlineMillis() - ANSWER_MARGIN_MILLIS - now;
+      if (left <= 0) {
+        boolean notRun = code.outcome() == Outcome.NOT_RUN;
+        throw new RefusalException(notRun ? code : ResultCode.WAIT_LIMIT_REACHED);
+      }
+      long jittered = pauseMillis / 2 + ThreadLocalRandom.current().nextLong(pauseMillis);
+      sleep(Math.min(jittered + 1, left));
+      pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, pauseMillis * 2);
+      tried.clear();
+    }
+  }
+
+  private Optional<ServerReply> single(Attempts<?> attempts, RunOn target, SessionPool.Lease lease)
+      throws RefusalException, BackendException {
+    Job job = attempts.job;
+    long sentMillis = context.clock().millis();
+    ServerReply reply = execute(job, lease.session(), target.after());
+    answered(job, target, reply, sentMillis);
+    if (reply.state() == TransactionState.IDLE) {
+      lease.markClean();
+    }
+    lease.close();
+    if (reply.failure() == null) {
+      boolean stale = target.leaseNeeded() && !job.write() && !isCurrentPrimary(job, target);
+      attempts.lastReason = ResultCode.NO_LEASE;
+      return stale ? Optional.empty() : Optional.of(reply);
+    }
+    return failed(attempts, reply.failure());
+  }
+
+  /** Decides whether a statement that failed at one server may be tried at another. */
+  private static <T> Optional<T> failed(Attempts<?> attempts, ServerFailure failure)
+      throws RefusalException {
+    attempts.lastReason = refusal(failure);
+    boolean again = !failure.mayHaveRun() || !attempts.job.write();
+    boolean hopeless = failure == ServerFailure.INVALID;
+    if (again && !hopeless) {
+      return Optional.empty();
+    }
+    throw new RefusalException(refusal(failure));
+  }
+
+  private Optional<Begun> beginOn(Attempts<?> attempts, RunOn target, SessionPool.Lease lease)
+      throws RefusalException, BackendException {
+    Job job = attempts.job;
+    long sentMillis = context.clock().millis();
+    ServerReply reply = execute(job, lease.session(), target.after());
+    answered(job, target, reply, sentMillis);
+    if (reply.failure() != null) {
+      if (reply.state() == TransactionState.IDLE) {
+        lease.markClean();
+      }
+      lease.close();
+      return failed(attempts, reply.failure());
+    }
+    if (target.leaseNeeded() && !isCurrentPrimary(job, target)) {
+      lease.close();
+      attempts.lastReason = ResultCode.NO_LEASE;
+      return Optional.empty();
+    }
+    return Optional.of(new Begun(lease, target));
+  }
+
+  private ServerReply execute(Job job, PooledSession session, @Nullable LogPosition after)
+      throws BackendException {
+    long timeout = Math.max(1, job.deadlineMillis() - context.clock().millis());
+    if (job.statement() instanceof Statement.Execute execute && job.prepared() != null) {
+      ServerReply reply = session.run(execute, job.prepared(), after, timeout);
+      if (reply.failure() == ServerFailure.NOT_PREPARED) {
+        session.forgetPrepared();
+      }
+      return reply;
+    }
+    return session.run(job.statement(), after, timeout);
+  }
+
+  /** Takes in what an answer tells of the server and its log. */
+  private void answered(Job job, RunOn target, ServerReply reply, long sentMillis) {
+    String database = job.operation().route().database();
+    context.health().succeeded(target.server().name());
+    LogPosition position = reply.position();
+    boolean leads =
+        target.asPrimary()
+            && reply.failure() == null
+            && (job.write() || isCurrentPrimary(job, target));
+    if (!leads) {
+      return;
+    }
+    context.evidence().answered(database, target.term(), context.clock().millis());
+    if (position != null) {
+      samples.add(database, new PositionSample(target.term(), position, sentMillis));
+    }
+  }
+
+  private boolean isCurrentPrimary(Job job, RunOn target) {
+    CurrentView current = context.views().get();
+    DatabaseState state = current.view().database(job.operation().route().database());
+    return current.lease().isValid(context.clock().millis())
+        && state.term() == target.term()
+        && target.server().name().equals(state.primary());
+  }
+
+  /** Returns the code for a caller whose statement failed for good. */
+  static ResultCode refusal(ServerFailure failure) {
+    return switch (failure) {
+      case BUSY, TOO_MANY_CONNECTIONS -> ResultCode.OVERLOADED;
+      case BEHIND -> ResultCode.NO_FRESH_SERVER;
+      case NOT_PRIMARY, WRONG_SERVER -> ResultCode.NO_PRIMARY;
+      case NOT_PREPARED -> ResultCode.STATEMENT_NOT_PREPARED;
+      case INVALID -> ResultCode.BAD_REQUEST;
+      case ABORTED -> ResultCode.TRANSACTION_ABORTED;
+      case FAILED -> ResultCode.STATEMENT_RUN_FAILED;
+      case TIMED_OUT -> ResultCode.STATEMENT_TIMED_OUT;
+      case OTHER -> ResultCode.OUTCOME_UNKNOWN;
+    };
+  }
+
+  private static void sleep(long millis) throws RefusalException {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new RefusalException(ResultCode.SHUTTING_DOWN);
+    }
+  }
+}
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/storage/ControlStore.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/storage/ControlStore.java
@@ -183,6 +183,21 @@
     }
   }
 
+  /**
+   * Tells whether a data folder holds nothing yet.
+   *
+   * @param folder the data folder
+   * @throws StorageException if the folder cannot be read
+   */
+  public static boolean isEmpty(Path folder) throws StorageException {
+    try {
+      return isAbsentOrEmpty(folder);
+    } catch (IOException e) {
+      throw new StorageException(
+          ResultCode.DATA_DAMAGED, "the data folder cannot be read: " + e.getMessage(), e);
+    }
+  }
+
   private static boolean isAbsentOrEmpty(Path folder) throws IOException {
     if (!Files.exists(folder)) {
       return true;
