Ask replicas for the oldest position that is recent enough; refuse over-rate requests early

Requests beyond a customer's rate waited for the whole limit of their statement.

Ruled out: the quota itself; refusals of RATE_EXCEEDED are of the one customer whose rate a configuration lowers.

With it, the decision log as JSON lines.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
@@ -12,7 +12,6 @@
 import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.view.DatabaseState;
 import org.cowslipdale.core.view.Freshness;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Chooses the server for statements of sessions.
@@ -54,7 +53,7 @@
    * @param group the known servers of the database
    * @param state the term and primary of the database in the VM's view
    * @param lease until when the VM may rely on its view
-   * @param sample the latest position that the primary stated, if any
+   * @param history the positions that the primary stated
    * @param now the present time on the VM's monotonic clock, in milliseconds
    */
   public SessionTarget route(
@@ -62,33 +61,31 @@
       BackendGroup group,
       DatabaseState state,
       LeaseStatus lease,
-      @Nullable PositionSample sample,
+      PositionHistory history,
       long now) {
     if (demand.write()) {
       return primary(group, state, demand, false);
     }
-    long allowedAge = allowedAgeMillis(demand.freshness());
-    boolean usable =
-        sample != null
-            && sample.term() == state.term()
-            && now - sample.sentMillis() + AGE_MARGIN_MILLIS <= allowedAge;
-    if (usable) {
-      Optional<SessionTarget> target = anyServer(demand, group, state, lease, sample, now);
-      if (target.isPresent()) {
-        return target.get();
-      }
+    Optional<SessionTarget> target =
+        sample(demand.freshness(), history, now)
+            .flatMap(sample -> anyServer(demand, group, state, lease, sample, now));
+    if (target.isPresent()) {
+      return target.get();
     }
     return lease.isValid(now)
         ? primary(group, state, demand, true)
         : new SessionTarget.Wait(ResultCode.NO_LEASE);
   }
 
-  private static long allowedAgeMillis(Freshness freshness) {
+  /** Returns the sample that a read must see, or empty if it needs the primary itself. */
+  private static Optional<PositionSample> sample(
+      Freshness freshness, PositionHistory history, long now) {
     return switch (freshness) {
-      case Freshness.BoundedAge bounded -> bounded.maxAgeMillis();
-      case Freshness.Latest latest -> Long.MIN_VALUE;
-      case Freshness.Session session -> Long.MAX_VALUE;
-      case Freshness.AnyAge any -> Long.MAX_VALUE;
+      case Freshness.BoundedAge bounded ->
+          history.oldestSince(now - bounded.maxAgeMillis() + AGE_MARGIN_MILLIS);
+      case Freshness.Latest latest -> Optional.empty();
+      case Freshness.Session session -> history.oldestSince(Long.MIN_VALUE);
+      case Freshness.AnyAge any -> history.oldestSince(Long.MIN_VALUE);
     };
   }
 
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/CallerSession.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/CallerSession.java
@@ -8,6 +8,8 @@
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.statement.Statement;
 import org.cowslipdale.core.statement.TransactionState;
+import org.cowslipdale.daemon.telemetry.DecisionLog;
+import org.cowslipdale.daemon.telemetry.LogEvent;
 import org.cowslipdale.daemon.version.VmClock;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -197,6 +199,7 @@
         case Event.Run run -> {
           SessionReply reply = session.execute(run.statement(), run.receivedMillis());
           transactionOpen = session.state() != TransactionState.IDLE;
+          logRefusal(run, reply);
           channel.reply(reply);
         }
         case Event.Invalid invalid -> {
@@ -221,6 +224,21 @@
     }
   }
 
+  private void logRefusal(Event.Run run, SessionReply reply) {
+    RefusalException refusal = reply.refusal();
+    if (refusal != null) {
+      DecisionLog.line(LogEvent.STATEMENT_REFUSED)
+          .with("request", run.statement().id())
+          .with("kind", run.statement().getClass().getSimpleName())
+          .with("code", refusal.code())
+          .with("message", refusal.getMessage())
+          .with("outcome", refusal.code().outcome())
+          .with("state", reply.state())
+          .with("took_ms", clock.millis() - run.receivedMillis())
+          .write();
+    }
+  }
+
   /** Waits for the next event; a transaction that stays idle for too long is aborted meanwhile. */
   private Event next(Session session) throws InterruptedException {
     busy = false;
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionGate.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionGate.java
@@ -26,6 +26,12 @@
   /** The customer of sessions that need no key and show none that is known. */
   private static final String NO_CUSTOMER = "-";
 
+  /**
+   * A token that does not come within this part of the target time is not expected: the customer is
+   * over its rate, and an early refusal lets it slow down.
+   */
+  private static final long TOKEN_WAIT_DIVISOR = 5;
+
   /** How long the opening of a session waits for the VM's first view, in milliseconds. */
   private static final long OPEN_WAIT_MILLIS = 1_500;
 
@@ -86,8 +92,9 @@
       throws RefusalException {
     Operation operation = authorize(routeName, key);
     if (!operation.customer().equals(NO_CUSTOMER)) {
-      limiter.acquire(
-          operation.customer(), receivedMillis + operation.route().statementLimitMillis());
+      SessionRoute route = operation.route();
+      long wait = Math.min(route.statementLimitMillis(), route.targetMillis() / TOKEN_WAIT_DIVISOR);
+      limiter.acquire(operation.customer(), receivedMillis + wait);
     }
     return operation;
   }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -22,6 +22,8 @@
 import org.cowslipdale.core.statement.TransactionState;
 import org.cowslipdale.core.view.DatabaseState;
 import org.cowslipdale.daemon.connection.BackendException;
+import org.cowslipdale.daemon.telemetry.DecisionLog;
+import org.cowslipdale.daemon.telemetry.LogEvent;
 import org.cowslipdale.daemon.version.CurrentView;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -42,6 +44,12 @@
   /** Kept back from the statement's limit, so that the refusal arrives within it. */
   private static final long ANSWER_MARGIN_MILLIS = 10;
 
+  /** A statement with less time left is not sent; it could hardly be answered. */
+  private static final long LEAST_RUN_MILLIS = 60;
+
+  /** An answer that was awaited for less says nothing about the server. */
+  private static final long SILENCE_MILLIS = 400;
+
   /** How long the connection of a transaction that was rolled back is kept for the answer. */
   private static final long ROLLBACK_LIMIT_MILLIS = 1_000;
 
@@ -158,10 +166,12 @@
     private final Job job;
     private final Set<String> tried = new HashSet<>();
     private long pauseMillis = FIRST_PAUSE_MILLIS;
+    private final long startedMillis;
     private ResultCode lastReason = ResultCode.WAIT_LIMIT_REACHED;
 
     Attempts(Job job) {
       this.job = job;
+      this.startedMillis = context.clock().millis();
     }
 
     /** Tries one server; returns empty if the statement did not run there, or only read. */
@@ -194,7 +204,7 @@
                     context.views().get().view(),
                     job.operation().customer(),
                     job.values(),
-                    job.deadlineMillis() - ANSWER_MARGIN_MILLIS);
+                    job.deadlineMillis() - LEAST_RUN_MILLIS);
       } catch (BackendException e) {
         notConnected(target, e);
         return Optional.empty();
@@ -205,12 +215,13 @@
         }
         return Optional.empty();
       }
+      long sentMillis = context.clock().millis();
       try {
         lease.session().align(job.values(), remaining());
         return attempt(target, lease);
       } catch (BackendException e) {
         lease.close();
-        broken(target, e);
+        broken(target, e, context.clock().millis() - sentMillis);
         return Optional.empty();
       } catch (RefusalException e) {
         lease.close();
@@ -229,7 +240,7 @@
               context.registry().group(database),
               current.view().database(database),
               current.lease(),
-              samples.latest(database),
+              samples.of(database),
               context.clock().millis());
     }
 
@@ -239,6 +250,9 @@
 
     private void notConnected(RunOn target, BackendException e) {
       String server = target.server().name();
+      line(LogEvent.SERVER_UNREACHABLE, job, target)
+          .with("reason", e.failure().map(Enum::name).orElse(String.valueOf(e.getCause())))
+          .write();
       lastReason = e.code();
       boolean refusedBusy =
           e.failure().filter(failure -> failure == ServerFailure.TOO_MANY_CONNECTIONS).isPresent();
@@ -250,12 +264,21 @@
       }
     }
 
-    private void broken(RunOn target, BackendException e) throws RefusalException {
+    private void broken(RunOn target, BackendException e, long awaitedMillis)
+        throws RefusalException {
       String server = target.server().name();
-      context.health().failed(server, context.clock().millis());
-      context.pools().closeIdle(server);
-      if (target.asPrimary()) {
-        checker.check(job.operation().route().database());
+      line(LogEvent.SERVER_CONNECTION_BROKEN, job, target)
+          .with("sent", e.isSent())
+          .with("reason", e.getCause())
+          .with("awaited_ms", awaitedMillis)
+          .write();
+      boolean timedOut = context.clock().millis() >= job.deadlineMillis();
+      if (!timedOut || awaitedMillis >= SILENCE_MILLIS) {
+        context.health().failed(server, context.clock().millis());
+        context.pools().closeIdle(server);
+        if (target.asPrimary()) {
+          checker.check(job.operation().route().database());
+        }
       }
       lastReason = e.code();
       boolean mayHaveRun =
@@ -278,7 +301,7 @@
 
     private void pause(ResultCode code) throws RefusalException {
       long now = context.clock().millis();
-      long left = job.deadlineMillis() - ANSWER_MARGIN_MILLIS - now;
+      long left = job.deadlineMillis() - LEAST_RUN_MILLIS - now;
       if (left <= 0) {
         boolean notRun = code.outcome() == Outcome.NOT_RUN;
         throw new RefusalException(notRun ? code : ResultCode.WAIT_LIMIT_REACHED);
@@ -301,16 +324,24 @@
     }
     lease.close();
     if (reply.failure() == null) {
+      if (DecisionLog.isSampled(job.statement().id())) {
+        line(LogEvent.STATEMENT_DONE, job, target)
+            .with("waited_ms", sentMillis - attempts.startedMillis)
+            .with("server_ms", context.clock().millis() - sentMillis)
+            .with("position", reply.position())
+            .write();
+      }
       boolean stale = target.leaseNeeded() && !job.write() && !isCurrentPrimary(job, target);
       attempts.lastReason = ResultCode.NO_LEASE;
       return stale ? Optional.empty() : Optional.of(reply);
     }
-    return failed(attempts, reply.failure());
+    return failed(attempts, target, reply.failure());
   }
 
   /** Decides whether a statement that failed at one server may be tried at another. */
-  private static <T> Optional<T> failed(Attempts<?> attempts, ServerFailure failure)
+  private <T> Optional<T> failed(Attempts<?> attempts, RunOn target, ServerFailure failure)
       throws RefusalException {
+    line(LogEvent.SERVER_DECLINED, attempts.job, target).with("reason", failure).write();
     attempts.lastReason = refusal(failure);
     boolean again = !failure.mayHaveRun() || !attempts.job.write();
     boolean hopeless = failure == ServerFailure.INVALID;
@@ -331,7 +362,7 @@
         lease.markClean();
       }
       lease.close();
-      return failed(attempts, reply.failure());
+      return failed(attempts, target, reply.failure());
     }
     if (target.leaseNeeded() && !isCurrentPrimary(job, target)) {
       lease.close();
@@ -368,10 +399,23 @@
     }
     context.evidence().answered(database, target.term(), context.clock().millis());
     if (position != null) {
-      samples.add(database, new PositionSample(target.term(), position, sentMillis));
+      samples.of(database).add(new PositionSample(target.term(), position, sentMillis));
     }
   }
 
+  private DecisionLog.Line line(LogEvent event, Job job, RunOn target) {
+    return DecisionLog.line(event)
+        .with("request", job.statement().id())
+        .with("customer", job.operation().customer())
+        .with("database", job.operation().route().database())
+        .with("server", target.server().name())
+        .with("write", job.write())
+        .with("as_primary", target.asPrimary())
+        .with("after", target.after())
+        .with("view_term", target.term())
+        .with("left_ms", job.deadlineMillis() - context.clock().millis());
+  }
+
   private boolean isCurrentPrimary(Job job, RunOn target) {
     CurrentView current = context.views().get();
     DatabaseState state = current.view().database(job.operation().route().database());
