Count a command as a difference of the view only if it changed the view

ControlStateTests showed it red first. Ruled out: the frozen leader itself; the new leader granted leases for 5 s before the first such configuration.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/backend/BackendGroup.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/backend/BackendGroup.java
@@ -43,7 +43,36 @@
     if (known != null && sameHistory(known.announcement(), announcement)) {
       offset = Math.max(offset, known.observedOffset());
     }
-    return with(new BackendServer(announcement, announcedAtMillis, offset));
+    long leavingSince =
+        !announcement.leaving()
+            ? Long.MAX_VALUE
+            : known == null || !known.announcement().leaving()
+                ? announcedAtMillis
+                : known.leavingSinceMillis();
+    return with(new BackendServer(announcement, announcedAtMillis, offset, leavingSince));
+  }
+
+  /**
+   * Returns the group without servers that an announcement has replaced at their address.
+   *
+   * @param announcement the announcement
+   */
+  BackendGroup withoutReplacedBy(Announcement announcement) {
+    Map<String, BackendServer> remaining = new HashMap<>(servers);
+    remaining.values().removeIf(server -> isReplaced(server.announcement(), announcement));
+    return remaining.size() == servers.size() ? this : new BackendGroup(remaining);
+  }
+
+  /** Tells whether one of the servers has taken over the address of an announcement. */
+  boolean hasReplaced(Announcement announcement) {
+    return servers.values().stream()
+        .anyMatch(server -> isReplaced(announcement, server.announcement()));
+  }
+
+  private static boolean isReplaced(Announcement older, Announcement newer) {
+    return older.address().equals(newer.address())
+        && !older.server().equals(newer.server())
+        && older.incarnation() < newer.incarnation();
   }
 
   /**
@@ -60,7 +89,9 @@
         || known.observedOffset() >= offset) {
       return this;
     }
-    return with(new BackendServer(known.announcement(), known.announcedAtMillis(), offset));
+    return with(
+        new BackendServer(
+            known.announcement(), known.announcedAtMillis(), offset, known.leavingSinceMillis()));
   }
 
   /**
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/backend/BackendRegistry.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/backend/BackendRegistry.java
@@ -42,7 +42,10 @@
    * @return whether the announcement was news
    */
   public boolean announce(Announcement announcement, long ageMillis, long now) {
-    if (ageMillis >= lapseMillis) {
+    boolean outdated =
+        ageMillis >= lapseMillis
+            || groups.values().stream().anyMatch(group -> group.hasReplaced(announcement));
+    if (outdated) {
       return false;
     }
     boolean news =
@@ -51,6 +54,7 @@
             .map(known -> announcement.isNewerThan(known.announcement()))
             .orElse(true);
     if (news) {
+      groups.replaceAll((name, group) -> group.withoutReplacedBy(announcement));
       groups.compute(
           announcement.database(),
           (name, group) ->
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/control/ControlState.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/control/ControlState.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.view.Transition;
 import org.cowslipdale.core.view.View;
 import org.cowslipdale.core.view.ViewCommand;
@@ -53,8 +52,7 @@
     ChangeRecord result =
         new ChangeRecord(
             "", transition.code(), transition.message(), transition.view().version(), 0);
-    boolean accepted = transition.code() == ResultCode.OK;
-    return new Applied(new ControlState(transition.view(), history), accepted, result);
+    return new Applied(new ControlState(transition.view(), history), isChanged(transition), result);
   }
 
   /**
@@ -85,7 +83,11 @@
     if (next.size() > MAX_HISTORY) {
       next.removeFirst();
     }
-    boolean accepted = transition.code() == ResultCode.OK;
-    return new Applied(new ControlState(transition.view(), next), accepted, result);
+    return new Applied(new ControlState(transition.view(), next), isChanged(transition), result);
+  }
+
+  /** A command may be acknowledged without changing the view, and is then no difference of it. */
+  private boolean isChanged(Transition transition) {
+    return transition.view().version() > view.version();
   }
 }
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
@@ -38,6 +38,9 @@
   private static final long FOLLOW_INTERVAL_MILLIS = 1_000;
   private static final long STALE_REPLICA_MILLIS = 2_000;
 
+  /** How often servers are asked again whether they have caught up, in milliseconds. */
+  private static final long CATCH_UP_QUERY_MILLIS = 150;
+
   /** How long an outside service may take to answer before it is asked again, in milliseconds. */
   private static final long SERVICE_RETRY_MILLIS = 1_500;
 
@@ -52,6 +55,7 @@
   private long stepMillis;
   private long ownTerm;
   private @Nullable String formerPrimary;
+  private boolean formerPrimaryAnswers;
   private @Nullable String chosen;
   private boolean accepted;
   private long askedServiceMillis;
@@ -148,6 +152,7 @@
     }
     if (needsChange(situation)) {
       formerPrimary = state.primary();
+      formerPrimaryAnswers = !situation.suspect();
       ownTerm = state.term() + 1;
       enter(Step.BEGINNING, situation.now());
       actions.add(new FailoverAction.Propose(new ViewCommand.BeginTerm(database, ownTerm)));
@@ -170,7 +175,11 @@
     boolean demoted =
         settled && server.isPresent() && server.get().announcement().role() != ServerRole.PRIMARY;
     boolean leaving = server.isPresent() && server.get().announcement().leaving();
-    return situation.suspect() || demoted || (leaving && hasSuccessor(situation, primary));
+    boolean vanished = promotion instanceof Promotion.ByService && server.isEmpty();
+    return situation.suspect()
+        || demoted
+        || vanished
+        || (leaving && hasSuccessor(situation, primary));
   }
 
   private boolean hasEnoughServers(Situation situation) {
@@ -178,7 +187,10 @@
     return switch (promotion) {
       case Promotion.ByServer ordered -> known >= situation.declared().majority();
       case Promotion.ByService service ->
-          situation.state().primary() == null ? known >= 1 : known >= 2;
+          situation.state().primary() == null
+              ? known >= 1
+              : situation.group().servers().keySet().stream()
+                  .anyMatch(name -> !name.equals(situation.state().primary()));
     };
   }
 
@@ -229,7 +241,9 @@
 
   /** A suspect primary would only delay the answers of the others. */
   private boolean isAskedForPosition(BackendServer server) {
-    return promotion instanceof Promotion.ByServer || !server.name().equals(formerPrimary);
+    return promotion instanceof Promotion.ByServer
+        || formerPrimaryAnswers
+        || !server.name().equals(formerPrimary);
   }
 
   private void reading(Situation situation, List<FailoverAction> actions) {
@@ -277,12 +291,7 @@
       actions.addAll(queryPreferred(situation, highest));
       return;
     }
-    Optional<BackendServer> server =
-        best.or(
-            () ->
-                candidates(situation).stream()
-                    .filter(other -> highest.equals(positions.get(other.name())))
-                    .findFirst());
+    Optional<BackendServer> server = best.or(() -> furthest(situation));
     if (server.isEmpty()) {
       enter(Step.FENCING, situation.now());
       return;
@@ -296,6 +305,21 @@
     }
   }
 
+  /** Returns the server that is furthest ahead; one that leaves only if there is no other. */
+  private Optional<BackendServer> furthest(Situation situation) {
+    List<BackendServer> candidates = candidates(situation);
+    Comparator<BackendServer> byPosition =
+        Comparator.comparing(server -> requireNonNull(positions.get(server.name())));
+    return switch (promotion) {
+      case Promotion.ByServer ordered -> candidates.stream().max(byPosition);
+      case Promotion.ByService service ->
+          candidates.stream()
+              .filter(this::isPreferred)
+              .max(byPosition)
+              .or(() -> candidates.stream().max(byPosition));
+    };
+  }
+
   private void askService(Situation situation, List<FailoverAction> actions) {
     askedServiceMillis = situation.now();
     actions.add(
@@ -306,7 +330,9 @@
   private List<FailoverAction> queryPreferred(Situation situation, LogPosition highest) {
     List<FailoverAction> queries = new ArrayList<>();
     for (BackendServer server : candidates(situation)) {
-      boolean due = dueOrder(server.name(), situation.now(), CATCH_UP_MILLIS);
+      long interval =
+          promotion instanceof Promotion.ByService ? CATCH_UP_QUERY_MILLIS : CATCH_UP_MILLIS;
+      boolean due = dueOrder(server.name(), situation.now(), interval);
       if (isPreferred(server) && due) {
         queries.add(query(server, highest.offset(), CATCH_UP_MILLIS));
       }
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/quota/TokenOwner.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/quota/TokenOwner.java
@@ -15,10 +15,14 @@
  */
 public final class TokenOwner {
 
-  /** How long a VM may use the tokens of a grant, counted from when it sent its request. */
-  public static final long GRANT_MILLIS = 2_000;
+  /**
+   * How long a VM may use the tokens of a grant, counted from when it sent its request, in
+   * milliseconds. Longer than the loss of a leader is felt: election, first entry, first renewal.
+   */
+  public static final long GRANT_MILLIS = 5_000;
 
-  private static final long GRANT_BOUND_MILLIS = 2_200;
+  /** The leader's bound on a grant; longer by the bound on clock drift between two VMs. */
+  private static final long GRANT_BOUND_MILLIS = 5_500;
 
   private final long electedMillis;
   private final Map<String, Bucket> buckets = new HashMap<>();
@@ -75,7 +79,7 @@
       bucket.stocks.put(vm, new Stock(kept, now + GRANT_BOUND_MILLIS));
     }
     refill(bucket, limit, now);
-    long share = Math.max(1, limit.burst() / (2L * Math.max(1, vms)));
+    long share = Math.max(1, limit.burst() / Math.max(1, vms));
     long issued = Math.min(Math.min(wanted, share), (long) Math.floor(bucket.tokens));
     if (issued <= 0) {
       double missing = 1 - bucket.tokens;
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/quota/TokenStock.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/quota/TokenStock.java
@@ -20,7 +20,9 @@
  */
 public final class TokenStock<T> {
 
-  private static final long AHEAD_MILLIS = 200;
+  /** For how long the stock should last at the present demand: over the loss of a leader. */
+  private static final long AHEAD_MILLIS = 1_500;
+
   private static final long ANSWER_TIMEOUT_MILLIS = 300;
   private static final double SMOOTHING = 0.2;
   private static final long DEMAND_WINDOW_MILLIS = 100;
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
@@ -26,6 +26,12 @@
   /** Time between the choice of a sample and the first byte at the server, in milliseconds. */
   private static final long AGE_MARGIN_MILLIS = 20;
 
+  /**
+   * How long a primary that leaves still gets work while its successor is promoted. Shorter than
+   * the time for which servers serve on after they were told that they may go.
+   */
+  private static final long LEAVING_PRIMARY_MILLIS = 5_500;
+
   /** Requests that a nearer server may have more than another before it is passed over. */
   private static final int LOAD_STEP = 2;
 
@@ -64,7 +70,7 @@
       PositionHistory history,
       long now) {
     if (demand.write()) {
-      return primary(group, state, demand, false);
+      return primary(group, state, demand, false, now);
     }
     Optional<SessionTarget> target =
         sample(demand.freshness(), history, now)
@@ -73,7 +79,7 @@
       return target.get();
     }
     return lease.isValid(now)
-        ? primary(group, state, demand, true)
+        ? primary(group, state, demand, true, now)
         : new SessionTarget.Wait(ResultCode.NO_LEASE);
   }
 
@@ -90,10 +96,18 @@
   }
 
   private static SessionTarget primary(
-      BackendGroup group, DatabaseState state, SessionDemand demand, boolean leaseNeeded) {
+      BackendGroup group,
+      DatabaseState state,
+      SessionDemand demand,
+      boolean leaseNeeded,
+      long now) {
     String primary = state.primary();
     Optional<BackendServer> server = primary == null ? Optional.empty() : group.server(primary);
-    if (server.isEmpty() || demand.tried().contains(primary)) {
+    boolean usable =
+        server.isPresent()
+            && !demand.tried().contains(server.get().name())
+            && server.get().leavingForMillis(now) < LEAVING_PRIMARY_MILLIS;
+    if (!usable) {
       return new SessionTarget.Wait(ResultCode.NO_PRIMARY);
     }
     return new SessionTarget.RunOn(server.get(), state.term(), true, null, leaseNeeded);
--- /dev/null
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/control/ControlStateTests.java
@@ -0,0 +1,72 @@
+package org.cowslipdale.core.control;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import java.util.Map;
+import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.view.Configuration;
+import org.cowslipdale.core.view.Database;
+import org.cowslipdale.core.view.DeclaredDocument;
+import org.cowslipdale.core.view.Freshness;
+import org.cowslipdale.core.view.KeyDigester;
+import org.cowslipdale.core.view.SessionRoute;
+import org.cowslipdale.core.view.ViewCommand;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests what configurations that operators send as a whole do to the control state. */
+class ControlStateTests {
+
+  private final ControlState five =
+      ControlState.EMPTY.apply(replacement(5, "first", "bonds")).state();
+
+  @Test
+  void takesAHigherVersion() {
+    ControlState.Applied applied = five.apply(replacement(7, "second", "bonds"));
+
+    assertThat(applied.accepted(), is(true));
+    assertThat(applied.state().view().document(), is(new DeclaredDocument(7, "second")));
+  }
+
+  /**
+   * The accepted commands are the differences between versions of the view; one more of them and no
+   * VM can follow the leader.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 5})
+  void acknowledgesAnOlderOrEqualVersionWithoutADifferenceOfTheView(long version) {
+    ControlState.Applied applied = five.apply(replacement(version, "other", "bonds"));
+
+    assertThat(applied.result().code(), is(ResultCode.OK));
+    assertThat(applied.accepted(), is(false));
+    assertThat(applied.state().view(), is(five.view()));
+  }
+
+  @Test
+  void refusesARouteToAnUnknownDatabase() {
+    ControlState.Applied applied = five.apply(replacement(9, "third", "grants"));
+
+    assertThat(applied.result().code(), is(ResultCode.INVALID_CHANGE));
+    assertThat(applied.state(), is(five));
+  }
+
+  private static ViewCommand replacement(long version, String text, String routeDatabase) {
+    SessionRoute route =
+        new SessionRoute("shop", routeDatabase, new Freshness.Latest(), 800, 1_000, 0, false);
+    Configuration configuration =
+        new Configuration(
+            Map.of(),
+            Map.of(),
+            Map.of(),
+            Map.of("bonds", new Database("bonds", 3)),
+            Map.of("shop", route),
+            3_000);
+    return new ViewCommand.ReplaceConfiguration(
+        new DeclaredDocument(version, text),
+        configuration,
+        List.of(KeyDigester.digestWhole("secret", "acme")));
+  }
+}
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -203,7 +203,7 @@
                 from,
                 request.unused(),
                 request.wanted(),
-                state.view().activeVms().size(),
+                state.view().callerVms(),
                 now);
     return new TokenReply(grant.tokens(), grant.retryMillis());
   }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
@@ -72,7 +72,7 @@
     this.vertx = vertx(settings);
     this.tracing = new Tracing(settings.observability().traceRatio());
     this.views = new ViewHolder(clock.millis());
-    this.readiness = new Readiness(views);
+    this.readiness = new Readiness(views, clock, adapter.isPresent());
     this.registry =
         adapter.isPresent() ? new BackendRegistry(ADAPTED_LAPSE_MILLIS) : new BackendRegistry();
     this.callers =
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionPath.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionPath.java
@@ -124,6 +124,9 @@
     pools.tick(now);
     if (now >= nextCleanUpMillis) {
       nextCleanUpMillis = now + CLEAN_UP_MILLIS;
+      if (!readiness.canServe()) {
+        sessions().closeIdle();
+      }
       Set<String> known = new HashSet<>();
       registry
           .databases()
