--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
@@ -38,6 +38,7 @@
   private final String failureDomain;
   private final String region;
   private final ServerLoad load;
+  private final ReplicaProgress progress;
 
   /**
    * Creates a router.
@@ -45,11 +46,14 @@
    * @param failureDomain the failure domain of this VM
    * @param region the region of this VM
    * @param load the load and health of servers as seen by this VM
+   * @param progress how far lagging replicas are
    */
-  public SessionRouter(String failureDomain, String region, ServerLoad load) {
+  public SessionRouter(
+      String failureDomain, String region, ServerLoad load, ReplicaProgress progress) {
     this.failureDomain = requireNonNull(failureDomain, "failureDomain");
     this.region = requireNonNull(region, "region");
     this.load = requireNonNull(load, "load");
+    this.progress = requireNonNull(progress, "progress");
   }
 
   /**
@@ -125,6 +129,7 @@
       boolean suits =
           !server.announcement().leaving()
               && !demand.tried().contains(server.name())
+              && !progress.isBehind(server.name(), required(demand, sample), now)
               && !load.isEjected(server.name(), group.servers().keySet(), now);
       if (suits) {
         candidates.add(server);
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/consensus/FakeVoters.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/consensus/FakeVoters.java
@@ -66,13 +66,15 @@
   static final class Member {
 
     final String name;
+    Set<String> known;
     Disk disk;
     @Nullable ConsensusNode node;
     ControlState state = ControlState.EMPTY;
     long applied;
 
-    Member(String name, Disk disk) {
+    Member(String name, Set<String> known, Disk disk) {
       this.name = name;
+      this.known = Set.copyOf(known);
       this.disk = disk;
     }
   }
@@ -81,7 +83,7 @@
     this.random = new Random(seed);
     for (String name : names) {
       Disk disk = new Disk(VoterSet.INITIAL_IDENTITY, VoterSet.initial(List.of(names)));
-      members.put(name, new Member(name, disk));
+      members.put(name, new Member(name, Set.of(names), disk));
     }
     members.values().forEach(this::start);
   }
@@ -105,6 +107,13 @@
     start(member);
   }
 
+  /** Starts a member that nobody knows and that knows some others. */
+  void join(String name, String identity, Set<String> known) {
+    Member member = new Member(name, known, new Disk(identity, VoterSet.NONE));
+    members.put(name, member);
+    start(member);
+  }
+
   void isolate(String name) {
     isolated.add(name);
   }
@@ -176,7 +185,7 @@
     member.node =
         new ConsensusNode(
             member.name,
-            members.keySet(),
+            member.known,
             member.disk.hardState,
             member.disk.snapshot,
             member.disk.entries,
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionPath.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionPath.java
@@ -15,6 +15,7 @@
 import org.cowslipdale.core.failover.PrimaryEvidence;
 import org.cowslipdale.core.result.CowslipException;
 import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.routing.ReplicaProgress;
 import org.cowslipdale.core.routing.SessionRouter;
 import org.cowslipdale.daemon.adapter.Adapter;
 import org.cowslipdale.daemon.adapter.Endpoint;
@@ -83,13 +84,16 @@
 
   @Override
   public void connect(ControlPlane control) {
+    ReplicaProgress progress = new ReplicaProgress();
     SessionContext context =
         new SessionContext(
             views,
             registry,
             health,
-            new SessionRouter(settings.vm().failureDomain(), settings.vm().region(), pools),
+            new SessionRouter(
+                settings.vm().failureDomain(), settings.vm().region(), pools, progress),
             pools,
+            progress,
             evidence,
             control.limiter(),
             clock);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionContext.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionContext.java
@@ -5,6 +5,7 @@
 import org.cowslipdale.core.backend.BackendRegistry;
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.failover.PrimaryEvidence;
+import org.cowslipdale.core.routing.ReplicaProgress;
 import org.cowslipdale.core.routing.SessionRouter;
 import org.cowslipdale.daemon.request.RateLimiter;
 import org.cowslipdale.daemon.version.ViewHolder;
@@ -18,6 +19,7 @@
  * @param health the failures seen on each server
  * @param router chooses servers
  * @param pools connections to servers
+ * @param progress how far lagging replicas are
  * @param evidence what is known of primaries
  * @param limiter keeps customers within their rates
  * @param clock the clocks of the VM
@@ -28,6 +30,7 @@
     ServerHealth health,
     SessionRouter router,
     SessionPools pools,
+    ReplicaProgress progress,
     PrimaryEvidence evidence,
     RateLimiter limiter,
     VmClock clock) {
@@ -39,6 +42,7 @@
     requireNonNull(health, "health");
     requireNonNull(router, "router");
     requireNonNull(pools, "pools");
+    requireNonNull(progress, "progress");
     requireNonNull(evidence, "evidence");
     requireNonNull(limiter, "limiter");
     requireNonNull(clock, "clock");
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -216,6 +216,11 @@
         return Optional.empty();
       }
       long sentMillis = context.clock().millis();
+      if (job.deadlineMillis() - sentMillis < LEAST_RUN_MILLIS) {
+        lease.markClean();
+        lease.close();
+        throw new RefusalException(ResultCode.WAIT_LIMIT_REACHED);
+      }
       try {
         lease.session().align(job.values(), remaining());
         return attempt(target, lease);
@@ -389,6 +394,12 @@
   private void answered(Job job, RunOn target, ServerReply reply, long sentMillis) {
     String database = job.operation().route().database();
     context.health().succeeded(target.server().name());
+    if (target.after() != null && reply.failure() == ServerFailure.BEHIND) {
+      LogPosition reached = reply.position() == null ? LogPosition.ZERO : reply.position();
+      context.progress().declined(target.server().name(), reached, context.clock().millis());
+    } else if (target.after() != null && reply.failure() == null) {
+      context.progress().served(target.server().name());
+    }
     LogPosition position = reply.position();
     boolean leads =
         target.asPrimary()
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/connection/HttpDatabaseConnectorTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/connection/HttpDatabaseConnectorTests.java
@@ -19,6 +19,7 @@
 import org.cowslipdale.config.codec.Codecs;
 import org.cowslipdale.config.protocol.BackendAnswer;
 import org.cowslipdale.config.protocol.BackendCall;
+import org.cowslipdale.config.protocol.ServerStatus;
 import org.cowslipdale.daemon.connection.BackendConnection.Operation;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -34,6 +35,7 @@
       new HttpDatabaseConnector(vertx, UnaryOperator.identity());
   private UnaryOperator<String> answeredCall = UnaryOperator.identity();
   private String address = "";
+  private volatile boolean silent;
 
   @BeforeEach
   void startServer() {
@@ -91,6 +93,30 @@
     assertThat(e.isSent(), is(false));
   }
 
+  /** A server that was killed and came back must be reached at once, however many asked it. */
+  @Test
+  void questionsToASilentServerDoNotDelayTheNextOne() throws Exception {
+    silent = true;
+    List<Thread> threads = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      threads.add(Thread.startVirtualThread(this::askInVain));
+    }
+    for (Thread thread : threads) {
+      thread.join();
+    }
+    silent = false;
+
+    ServerStatus status = connector.status(new ServerRef("bonds", "bonds-1", address), 600);
+
+    assertThat(status.server(), is("bonds-1"));
+  }
+
+  private void askInVain() {
+    assertThrows(
+        BackendException.class,
+        () -> connector.status(new ServerRef("bonds", "bonds-1", address), 300));
+  }
+
   private void callRepeatedly(Queue<BackendException> failures) {
     try (BackendConnection connection = connector.connect(address, TIMEOUT_MILLIS)) {
       for (int i = 0; i < 4_000; i++) {
@@ -106,6 +132,18 @@
   }
 
   private void answer(HttpServerRequest request) {
+    if (silent) {
+      return;
+    }
+    if (request.path().equals("/status")) {
+      request
+          .response()
+          .end(
+              """
+              {"server":"bonds-1","role":"PRIMARY","term":1,"offset":0,"termBarrier":1}
+              """);
+      return;
+    }
     request
         .body()
         .onSuccess(
