--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusTimings.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusTimings.java
@@ -6,17 +6,20 @@
   /** How often a leader sends to every follower. */
   public static final long HEARTBEAT_MILLIS = 150;
 
-  /** How long a follower that hears from a leader refuses to vote for another. */
-  public static final long ELECTION_MIN_MILLIS = 1_000;
+  /**
+   * How long a follower that hears from a leader refuses to vote for another: four heartbeats, and
+   * ten round trips between regions.
+   */
+  public static final long ELECTION_MIN_MILLIS = 600;
 
   /** The longest silence after which a follower stands for election. */
-  public static final long ELECTION_MAX_MILLIS = 1_800;
+  public static final long ELECTION_MAX_MILLIS = 1_100;
 
   /**
    * How long a leader may act after a quorum has answered, counted from the send time. Shorter than
    * {@link #ELECTION_MIN_MILLIS} by the bound on clock drift.
    */
-  public static final long LEADER_LEASE_MILLIS = 900;
+  public static final long LEADER_LEASE_MILLIS = 540;
 
   /** How often a member that hears from no leader asks to be taken in. */
   public static final long JOIN_MILLIS = 300;
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/control/LeaseTable.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/control/LeaseTable.java
@@ -63,6 +63,37 @@
     return entry != null && now < entry.leaseBoundMillis();
   }
 
+  /**
+   * Tells whether a VM without a lease may still serve customers, so that its share of their rates
+   * is kept for it.
+   *
+   * @param vm the name of the VM
+   * @param now the present time on the leader's monotonic clock, in milliseconds
+   */
+  public boolean mayServeWithoutLease(String vm, long now) {
+    long bound = leaseBoundMillis(vm);
+    return now >= bound - LeaseTimings.LEASE_BOUND_MILLIS + LeaseTimings.RENEWAL_OVERDUE_MILLIS
+        && now < bound + LeaseTimings.KEY_GRACE_BOUND_MILLIS;
+  }
+
+  /**
+   * Tells whether a VM held a lease a moment ago, so that its connections to servers may be open.
+   *
+   * @param vm the name of the VM
+   * @param now the present time on the leader's monotonic clock, in milliseconds
+   */
+  public boolean mayUseServers(String vm, long now) {
+    return now < leaseBoundMillis(vm) + LeaseTimings.SERVER_CONNECTION_MILLIS;
+  }
+
+  /** Of a VM that this leader does not know, the former leader may have known. */
+  private long leaseBoundMillis(String vm) {
+    Entry entry = entries.get(vm);
+    return entry == null
+        ? electedMillis + LeaseTimings.LEASE_BOUND_MILLIS
+        : entry.leaseBoundMillis();
+  }
+
   /**
    * Returns the VMs that may still act on an older version.
    *
@@ -80,10 +111,7 @@
     for (String name : names) {
       Entry entry = entries.get(name);
       long confirmed = entry == null ? 0 : entry.confirmedVersion();
-      long bound =
-          entry == null
-              ? electedMillis + LeaseTimings.LEASE_BOUND_MILLIS
-              : entry.leaseBoundMillis();
+      long bound = leaseBoundMillis(name);
       if (confirmed < version && now < bound + graceMillis) {
         waiting.add(name);
       }
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/quota/TokenStock.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/quota/TokenStock.java
@@ -70,6 +70,20 @@
     return Admission.QUEUED;
   }
 
+  /**
+   * Takes a token if there is one, without waiting.
+   *
+   * @param now the present time on the VM's monotonic clock, in milliseconds
+   */
+  public synchronized boolean tryTake(long now) {
+    dropExpired(now);
+    if (tokens == 0) {
+      return false;
+    }
+    tokens--;
+    return true;
+  }
+
   /**
    * Returns the request to send to the owner of the tokens, if one is due.
    *
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/view/View.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/view/View.java
@@ -109,13 +109,6 @@
         .toList();
   }
 
-  /** Returns how many members serve callers, and at least 1. */
-  public int callerVms() {
-    long serving =
-        vms.values().stream().filter(VmRecord::active).filter(VmRecord::servesCallers).count();
-    return (int) Math.max(1, serving);
-  }
-
   private Transition changeConfiguration(ViewCommand.ChangeConfiguration command) {
     if (command.expectedVersion() != configurationVersion) {
       return rejected(
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/control/LeaseTableTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/control/LeaseTableTests.java
@@ -54,6 +54,18 @@
     assertThat(table.waitingFor(5, view, grace, ELECTED + 100 + BOUND + grace), empty());
   }
 
+  @Test
+  void keepsTheShareOfAVmThatIsOverdueUntilItServesNothingMore() {
+    long granted = ELECTED + 100;
+    table.grant("vm1", 5, granted);
+
+    assertThat(table.mayServeWithoutLease("vm1", granted + 600), is(false));
+    assertThat(table.mayServeWithoutLease("vm1", granted + 1_500), is(true));
+    long end = granted + BOUND + LeaseTimings.KEY_GRACE_BOUND_MILLIS;
+    assertThat(table.mayServeWithoutLease("vm1", end - 1), is(true));
+    assertThat(table.mayServeWithoutLease("vm1", end), is(false));
+  }
+
   @Test
   void doesNotWaitForAVmThatGaveItsLeaseBack() {
     table.grant("vm1", 5, ELECTED + 100);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetRateLimiter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetRateLimiter.java
@@ -10,7 +10,6 @@
 import org.cowslipdale.core.quota.TokenStock;
 import org.cowslipdale.core.result.RefusalException;
 import org.cowslipdale.core.result.ResultCode;
-import org.cowslipdale.core.view.OpenRoute;
 import org.cowslipdale.core.view.RateLimit;
 import org.cowslipdale.daemon.connection.TicketFuture;
 import org.cowslipdale.daemon.peer.PeerMessage.TokenReply;
@@ -22,10 +21,9 @@
 /**
  * Limits customers with tokens that the control leader issues for the whole fleet.
  *
- * <p>A VM without a lease gets no tokens. It serves no more for customers than the tokens it has,
- * because a reserve for it would have to be kept from them while nothing is wrong. Open routes have
- * no customer whose rate could be exceeded; a VM without a lease serves them at its equal share of
- * their rate.
+ * <p>A VM without a lease gets no tokens. It first spends those that it holds, then serves at its
+ * equal share of the rate, which the leader keeps for VMs that it has lost. Customers send less
+ * than their rates allow, so the share that is kept is hardly missed.
  */
 final class FleetRateLimiter implements RateLimiter {
 
@@ -52,11 +50,13 @@
             .configuration()
             .rateLimit(customer)
             .orElseThrow(() -> new RefusalException(ResultCode.UNAUTHENTICATED));
-    if (OpenRoute.routeOf(customer).isPresent() && !holdsLease()) {
-      acquireLocally(customer, limit);
+    TokenStock<TicketFuture> stock = stocks.computeIfAbsent(customer, name -> new TokenStock<>());
+    if (!holdsLease()) {
+      if (!stock.tryTake(clock.millis())) {
+        acquireLocally(customer, limit);
+      }
       return;
     }
-    TokenStock<TicketFuture> stock = stocks.computeIfAbsent(customer, name -> new TokenStock<>());
     TicketFuture granted = new TicketFuture();
     Ticket<TicketFuture> ticket = new Ticket<>(customer, deadlineMillis, granted);
     Admission admission = stock.offer(ticket, limit.ratePerSecond(), limit.burst(), clock.millis());
@@ -66,9 +66,9 @@
     }
   }
 
-  private void acquireLocally(String route, RateLimit limit) throws RefusalException {
-    int vms = Math.max(1, views.get().view().activeVms().size());
-    LocalShare share = shares.computeIfAbsent(route, name -> new LocalShare());
+  private void acquireLocally(String identity, RateLimit limit) throws RefusalException {
+    int vms = Math.max(1, views.get().callerVms());
+    LocalShare share = shares.computeIfAbsent(identity, name -> new LocalShare());
     if (!share.tryTake(limit.ratePerSecond() / vms, clock.millis())) {
       throw new RefusalException(ResultCode.RATE_EXCEEDED);
     }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ViewClient.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ViewClient.java
@@ -125,7 +125,7 @@
             ? reply.sentMillis() + LeaseTimings.LEASE_MILLIS
             : Long.MIN_VALUE;
     boolean changed = view.version() > holder.get().view().version();
-    holder.publish(view, leaseEnd);
+    holder.publish(view, leaseEnd, reply.callerVms());
     if (!reply.registered() || !isRegisteredAsIs(view)) {
       link.send(leader, new PeerMessage.Registration(self));
       nextMillis = clock.millis() + RETRY_MILLIS;
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -49,6 +49,9 @@
   private static final Logger LOG = LoggerFactory.getLogger(Voter.class);
   private static final int ENTRIES_PER_SNAPSHOT = 500;
 
+  /** A rate must be positive; this one yields a token in a thousand seconds. */
+  private static final double LEAST_RATE = 0.001;
+
   private final String vm;
   private final ConsensusNode node;
   private final ControlStore store;
@@ -168,7 +171,18 @@
         commands.orElse(List.of()),
         commands.isPresent() ? null : view,
         request.sentMillis(),
-        voterNames());
+        voterNames(),
+        callerVms(current, view, now));
+  }
+
+  /** Counts the VMs that serve callers and may have connections to servers. */
+  private static int callerVms(Leadership current, View view, long now) {
+    long serving =
+        view.vms().values().stream()
+            .filter(vm -> vm.active() && vm.servesCallers())
+            .filter(vm -> current.leases().mayUseServers(vm.name(), now))
+            .count();
+    return (int) Math.max(1, serving);
   }
 
   /** Registers a VM unless it is registered as it wants. */
@@ -199,15 +213,28 @@
             .tokens()
             .issue(
                 request.customer(),
-                limit.get(),
+                withoutReserve(limit.get(), current, now),
                 from,
                 request.unused(),
                 request.wanted(),
-                state.view().callerVms(),
+                callerVms(current, state.view(), now),
                 now);
     return new TokenReply(grant.tokens(), grant.retryMillis());
   }
 
+  /** Keeps the shares of VMs that have lost the leader and serve customers at an equal share. */
+  private RateLimit withoutReserve(RateLimit limit, Leadership current, long now) {
+    View view = state.view();
+    long lost =
+        view.vms().values().stream()
+            .filter(vm -> vm.active() && vm.servesCallers())
+            .filter(vm -> current.leases().mayServeWithoutLease(vm.name(), now))
+            .count();
+    int sharing = callerVms(current, view, now);
+    double kept = Math.min(1, (double) lost / sharing);
+    return new RateLimit(limit.ratePerSecond() * (1 - kept) + LEAST_RATE, limit.burst());
+  }
+
   /** Answers a query for the state of the fleet. */
   FleetReply fleet(FleetQuery query) {
     long now = clock.millis();
@@ -242,7 +269,8 @@
         List.of(),
         null,
         request.sentMillis(),
-        voterNames());
+        voterNames(),
+        0);
   }
 
   private List<String> voterNames() {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerMessage.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerMessage.java
@@ -59,6 +59,7 @@
    * @param view the whole view, if the commands are not kept any more
    * @param sentMillis the send time of the request, repeated
    * @param voters the names of the VMs that keep the control log
+   * @param callerVms how many VMs share the connections of servers
    */
   record LeaseReply(
       boolean granted,
@@ -68,7 +69,8 @@
       List<ViewCommand> commands,
       @Nullable View view,
       long sentMillis,
-      List<String> voters)
+      List<String> voters,
+      int callerVms)
       implements PeerMessage {}
 
   /**
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
@@ -10,9 +10,9 @@
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.result.RefusalException;
 import org.cowslipdale.core.routing.ServerLoad;
-import org.cowslipdale.core.view.View;
 import org.cowslipdale.daemon.connection.BackendException;
 import org.cowslipdale.daemon.connection.ServerRef;
+import org.cowslipdale.daemon.version.CurrentView;
 import org.cowslipdale.daemon.version.VmClock;
 
 /**
@@ -49,12 +49,12 @@
 
   SessionPool.Lease acquire(
       BackendServer server,
-      View view,
+      CurrentView current,
       String customer,
       Map<String, String> values,
       long deadlineMillis)
       throws RefusalException, BackendException {
-    return pool(server, view).acquire(customer, values, deadlineMillis);
+    return pool(server, current).acquire(customer, values, deadlineMillis);
   }
 
   /** Closes the idle connections to a server, because one of them has failed. */
@@ -108,9 +108,9 @@
     pools.values().forEach(SessionPool::close);
   }
 
-  private SessionPool pool(BackendServer server, View view) {
+  private SessionPool pool(BackendServer server, CurrentView current) {
     ServerRef wanted = ServerRef.of(server.announcement());
-    int limit = connections(server, view);
+    int limit = connections(server, current);
     SessionPool known = pools.get(wanted.server());
     if (known != null && known.server().equals(wanted)) {
       known.resize(limit);
@@ -129,12 +129,12 @@
         });
   }
 
-  private static int connections(BackendServer server, View view) {
-    var declared = view.configuration().databases().get(server.announcement().database());
+  private static int connections(BackendServer server, CurrentView current) {
+    var declared = current.view().configuration().databases().get(server.announcement().database());
     int limit =
         declared == null || declared.connectionLimit() == 0
             ? server.announcement().connectionLimit()
             : declared.connectionLimit();
-    return Math.max(1, (limit - RESERVED_CONNECTIONS) / view.callerVms());
+    return Math.max(1, (limit - RESERVED_CONNECTIONS) / Math.max(1, current.callerVms()));
   }
 }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -201,7 +201,7 @@
                 .pools()
                 .acquire(
                     target.server(),
-                    context.views().get().view(),
+                    context.views().get(),
                     job.operation().customer(),
                     job.values(),
                     job.deadlineMillis() - LEAST_RUN_MILLIS);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/version/CurrentView.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/version/CurrentView.java
@@ -10,8 +10,9 @@
  *
  * @param view the view
  * @param lease the lease under which it is known to be current
+ * @param callerVms how many VMs share the connections of servers
  */
-public record CurrentView(View view, LeaseStatus lease) {
+public record CurrentView(View view, LeaseStatus lease, int callerVms) {
 
   /** Asserts that every component is set. */
   public CurrentView {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/version/ViewHolder.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/version/ViewHolder.java
@@ -15,7 +15,7 @@
    * @param now the present time on the VM's monotonic clock, in milliseconds
    */
   public ViewHolder(long now) {
-    this.current = new AtomicReference<>(new CurrentView(View.EMPTY, new LeaseStatus(now)));
+    this.current = new AtomicReference<>(new CurrentView(View.EMPTY, new LeaseStatus(now), 1));
   }
 
   /** Returns the current view and lease. */
@@ -28,12 +28,14 @@
    *
    * @param view the view
    * @param leaseEndMillis when the lease ends, on the VM's monotonic clock
+   * @param callerVms how many VMs share the connections of servers, or 0 if that is not known
    */
-  public void publish(View view, long leaseEndMillis) {
+  public void publish(View view, long leaseEndMillis, int callerVms) {
     current.updateAndGet(
         before ->
             new CurrentView(
                 view.version() >= before.view().version() ? view : before.view(),
-                new LeaseStatus(Math.max(leaseEndMillis, before.lease().endMillis()))));
+                new LeaseStatus(Math.max(leaseEndMillis, before.lease().endMillis())),
+                callerVms > 0 ? callerVms : before.callerVms()));
   }
 }
