--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/quota/TokenOwner.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/quota/TokenOwner.java
@@ -24,6 +24,9 @@
   /** The leader's bound on a grant; longer by the bound on clock drift between two VMs. */
   private static final long GRANT_BOUND_MILLIS = 5_500;
 
+  /** A rate may rise at any time, so no VM is told to wait for longer, in milliseconds. */
+  static final long LONGEST_RETRY_MILLIS = 250;
+
   private final long electedMillis;
   private final Map<String, Bucket> buckets = new HashMap<>();
 
@@ -84,7 +87,7 @@
     if (issued <= 0) {
       double missing = 1 - bucket.tokens;
       long wait = (long) Math.ceil(missing * 1_000 / limit.ratePerSecond());
-      return new Grant(0, Math.max(1, wait));
+      return new Grant(0, Math.clamp(wait, 1, LONGEST_RETRY_MILLIS));
     }
     bucket.tokens -= issued;
     bucket.stocks.put(vm, new Stock(kept + issued, now + GRANT_BOUND_MILLIS));
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/quota/TokenTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/quota/TokenTests.java
@@ -202,4 +202,14 @@
 
     assertThat((double) refused / asked, lessThan(0.02));
   }
+
+  @Test
+  void noVmIsToldToWaitForLongSinceARateMayRise() {
+    TokenOwner owner = new TokenOwner(0);
+
+    TokenOwner.Grant grant = owner.issue("acme", new RateLimit(0.001, 90), "vm1", 0, 5, 6, 100);
+
+    assertThat(grant.tokens(), is(0L));
+    assertThat(grant.retryMillis(), lessThan(251L));
+  }
 }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -34,6 +34,8 @@
 import org.cowslipdale.daemon.peer.PeerMessage.TokenRequest;
 import org.cowslipdale.daemon.storage.ControlStore;
 import org.cowslipdale.daemon.storage.StorageException;
+import org.cowslipdale.daemon.telemetry.DecisionLog;
+import org.cowslipdale.daemon.telemetry.LogEvent;
 import org.cowslipdale.daemon.version.VmClock;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -213,21 +215,34 @@
             .tokens()
             .issue(
                 request.customer(),
-                withoutReserve(limit.get(), current, now),
+                withoutReserve(limit.get(), from, current, now),
                 from,
                 request.unused(),
                 request.wanted(),
                 callerVms(current, state.view(), now),
                 now);
+    if (grant.tokens() == 0) {
+      RateLimit issued = withoutReserve(limit.get(), from, current, now);
+      DecisionLog.line(LogEvent.TOKENS_REFUSED)
+          .with("customer", request.customer())
+          .with("vm", from)
+          .with("rate", limit.get().ratePerSecond())
+          .with("burst", limit.get().burst())
+          .with("rate_issued", issued.ratePerSecond())
+          .with("wanted", request.wanted())
+          .with("retry_ms", grant.retryMillis())
+          .write();
+    }
     return new TokenReply(grant.tokens(), grant.retryMillis());
   }
 
   /** Keeps the shares of VMs that have lost the leader and serve customers at an equal share. */
-  private RateLimit withoutReserve(RateLimit limit, Leadership current, long now) {
+  private RateLimit withoutReserve(RateLimit limit, String from, Leadership current, long now) {
     View view = state.view();
     long lost =
         view.vms().values().stream()
             .filter(vm -> vm.active() && vm.servesCallers())
+            .filter(vm -> !vm.name().equals(from))
             .filter(vm -> current.leases().mayServeWithoutLease(vm.name(), now))
             .count();
     int sharing = callerVms(current, view, now);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/telemetry/LogEvent.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/telemetry/LogEvent.java
@@ -36,6 +36,8 @@
   CONFIGURATION_IN_FORCE("configuration-in-force"),
   /** An operator's configuration was accepted, refused, or its outcome is unknown. */
   CONFIGURATION_PROPOSED("configuration-proposed"),
+  /** The control leader had no token for a customer, whose rate is used up. */
+  TOKENS_REFUSED("tokens-refused"),
   /** This VM leads the control log. */
   LEADERSHIP_GAINED("leadership-gained"),
   /** This VM no longer leads the control log. */
