Write one line for each decision and change of belief, with the fields that decided it

Leases, leadership, voters, configurations, servers, suspicions, phases of a promotion, sessions and statements that were refused, start and stop: events with fields instead of prose, listed in docs/OPERATIONS.md (LogEventDocumentationTests).

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/AnnouncementRelay.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/AnnouncementRelay.java
@@ -11,6 +11,8 @@
 import org.cowslipdale.core.view.VmRecord;
 import org.cowslipdale.daemon.peer.PeerMessage.Announcements;
 import org.cowslipdale.daemon.peer.PeerMessage.RelayedAnnouncement;
+import org.cowslipdale.daemon.telemetry.DecisionLog;
+import org.cowslipdale.daemon.telemetry.LogEvent;
 import org.cowslipdale.daemon.version.ViewHolder;
 import org.cowslipdale.daemon.version.VmClock;
 import org.jspecify.annotations.Nullable;
@@ -49,6 +51,9 @@
     long now = clock.millis();
     boolean news = registry.announce(announcement, 0, now);
     Relayed last = relayed.get(announcement.server());
+    if (news) {
+      logChange(last == null ? null : last.announcement(), announcement);
+    }
     boolean due =
         last == null
             || now - last.atMillis() >= REFRESH_MILLIS
@@ -76,12 +81,27 @@
     for (RelayedAnnouncement item : announcements.items()) {
       boolean news = registry.announce(item.announcement(), item.ageMillis(), now);
       if (news) {
+        Relayed last = relayed.get(item.announcement().server());
+        logChange(last == null ? null : last.announcement(), item.announcement());
         relayed.put(
             item.announcement().server(), new Relayed(item.announcement(), now - item.ageMillis()));
       }
     }
   }
 
+  private static void logChange(@Nullable Announcement before, Announcement after) {
+    if (before == null || differs(before, after)) {
+      DecisionLog.line(LogEvent.SERVER_CHANGED)
+          .with("server", after.server())
+          .with("database", after.database())
+          .with("role", after.role())
+          .with("leaving", after.leaving())
+          .with("incarnation", after.incarnation())
+          .with("sequence", after.sequence())
+          .write();
+    }
+  }
+
   /** Sends what is pending. */
   void flush() {
     if (pending.isEmpty()) {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlPlane.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlPlane.java
@@ -45,6 +45,8 @@
 import org.cowslipdale.daemon.request.TransactionForwarder;
 import org.cowslipdale.daemon.request.TransactionStep;
 import org.cowslipdale.daemon.storage.ControlStore;
+import org.cowslipdale.daemon.telemetry.DecisionLog;
+import org.cowslipdale.daemon.telemetry.LogEvent;
 import org.cowslipdale.daemon.telemetry.Tracing;
 import org.cowslipdale.daemon.version.ViewHolder;
 import org.cowslipdale.daemon.version.VmClock;
@@ -203,6 +205,13 @@
   public CompletableFuture<ResultCode> replaceConfiguration(
       DeclaredDocument document, Configuration configuration, List<ApiKey> keys) {
     return propose(new ViewCommand.ReplaceConfiguration(document, configuration, keys))
+        .whenComplete(
+            (reply, failure) ->
+                DecisionLog.line(LogEvent.CONFIGURATION_PROPOSED)
+                    .with("configuration_version", document.version())
+                    .with(
+                        "result", reply.result() == null ? reply.failure() : reply.result().code())
+                    .write())
         .thenApply(
             reply ->
                 reply.result() != null
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FailoverExecutor.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FailoverExecutor.java
@@ -14,6 +14,8 @@
 import org.cowslipdale.daemon.connection.DatabaseConnector;
 import org.cowslipdale.daemon.connection.PromotionService;
 import org.cowslipdale.daemon.connection.ServerRef;
+import org.cowslipdale.daemon.telemetry.DecisionLog;
+import org.cowslipdale.daemon.telemetry.LogEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -91,28 +93,30 @@
     if (!(access instanceof BackendAccess.Adapted adapted)) {
       throw new IllegalStateException("there is no promotion service");
     }
-    LOG.info(
-        "asking for the promotion of server {} of database {} with fence {}",
-        promotion.server(),
-        promotion.database(),
-        promotion.fence());
+    phase("service-asked", promotion).write();
     adapted
         .promotions()
         .promote(promotion.database(), promotion.server(), holder, promotion.fence())
         .whenComplete(
             (answer, failure) -> {
               if (failure == null) {
-                LOG.info("the promotion of server {} is {}", promotion.server(), answer);
+                phase("service-answered", promotion).with("answer", answer).write();
                 control.execute(() -> listener.answered(promotion, answer));
               } else {
-                LOG.warn(
-                    "the promotion of server {} got no answer: {}",
-                    promotion.server(),
-                    failure.getMessage());
+                phase("service-silent", promotion).with("reason", failure.getMessage()).write();
               }
             });
   }
 
+  private static DecisionLog.Line phase(String phase, Promote promotion) {
+    return DecisionLog.line(LogEvent.PROMOTION_PHASE)
+        .with("phase", phase)
+        .with("database", promotion.database())
+        .with("view_term", promotion.term())
+        .with("server", promotion.server())
+        .with("fence", promotion.fence());
+  }
+
   private ServerStatus ask(QueryPosition query) throws BackendException {
     ServerRef server = new ServerRef(query.database(), query.server(), query.address());
     return switch (access) {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ViewClient.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ViewClient.java
@@ -11,6 +11,8 @@
 import org.cowslipdale.daemon.peer.PeerMessage;
 import org.cowslipdale.daemon.peer.PeerMessage.LeaseReply;
 import org.cowslipdale.daemon.peer.PeerMessage.LeaseRequest;
+import org.cowslipdale.daemon.telemetry.DecisionLog;
+import org.cowslipdale.daemon.telemetry.LogEvent;
 import org.cowslipdale.daemon.version.ViewHolder;
 import org.cowslipdale.daemon.version.VmClock;
 import org.jspecify.annotations.Nullable;
@@ -35,6 +37,7 @@
   private boolean askAgain;
   private boolean stopping;
   private long nextMillis;
+  private boolean leased;
 
   ViewClient(
       VmRecord self,
@@ -52,6 +55,7 @@
   }
 
   void tick() {
+    logLease();
     if (!asking && !stopping && clock.millis() >= nextMillis) {
       ask();
     }
@@ -125,6 +129,13 @@
             ? reply.sentMillis() + LeaseTimings.LEASE_MILLIS
             : Long.MIN_VALUE;
     boolean changed = view.version() > holder.get().view().version();
+    if (view.document().version() > holder.get().view().document().version()) {
+      DecisionLog.line(LogEvent.CONFIGURATION_IN_FORCE)
+          .with("configuration_version", view.document().version())
+          .with("view_version", view.version())
+          .with("leader", leader)
+          .write();
+    }
     holder.publish(view, leaseEnd, reply.callerVms());
     if (!reply.registered() || !isRegisteredAsIs(view)) {
       link.send(leader, new PeerMessage.Registration(self));
@@ -133,6 +144,17 @@
     askAgain |= changed;
   }
 
+  private void logLease() {
+    boolean holds = holder.get().lease().isValid(clock.millis());
+    if (holds != leased) {
+      leased = holds;
+      DecisionLog.line(holds ? LogEvent.LEASE_GAINED : LogEvent.LEASE_LOST)
+          .with("view_version", holder.get().view().version())
+          .with("leader", link.leader())
+          .write();
+    }
+  }
+
   private View updated(LeaseReply reply) {
     View current = holder.get().view();
     if (reply.view() != null) {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -327,7 +327,11 @@
     appliedIndex = entry.index();
     if (entry.payload() instanceof LogEntry.Voters change
         && change.voters().contains(node.self())) {
-      LOG.info("this VM takes part as a voter, with {}", change.voters().names());
+      LOG.info("this VM takes part as a voter");
+      DecisionLog.line(LogEvent.VOTERS_CHANGED)
+          .with("index", entry.index())
+          .with("voters", change.voters().names())
+          .write();
     }
     if (entry.payload() instanceof LogEntry.Command logged) {
       ControlState.Applied applied = state.apply(logged.command());
@@ -351,14 +355,20 @@
     long version = state.view().version();
     if (command instanceof ViewCommand.BeginTerm begin) {
       current.failover().termChanged(begin.database(), version);
-      LOG.info("term {} of database {} began", begin.term(), begin.database());
+      DecisionLog.line(LogEvent.PROMOTION_PHASE)
+          .with("phase", "term-began")
+          .with("database", begin.database())
+          .with("view_term", begin.term())
+          .with("view_version", version)
+          .write();
     }
     if (command instanceof ViewCommand.CompleteTerm complete) {
-      LOG.info(
-          "server {} is primary of database {} in term {}",
-          complete.primary(),
-          complete.database(),
-          complete.term());
+      DecisionLog.line(LogEvent.PROMOTION_PHASE)
+          .with("phase", "term-completed")
+          .with("database", complete.database())
+          .with("view_term", complete.term())
+          .with("server", complete.primary())
+          .write();
     }
     for (VmRecord member : state.view().activeVms()) {
       sender.send(member.name(), new PeerMessage.ViewNews(version));
@@ -383,12 +393,12 @@
     boolean leads = node.role() == ConsensusNode.Role.LEADER;
     Leadership current = leadership;
     if (current != null && (!leads || current.term() != node.term())) {
-      LOG.info("this VM no longer leads the control log");
+      DecisionLog.line(LogEvent.LEADERSHIP_LOST).with("log_term", current.term()).write();
       current.end();
       leadership = null;
     }
     if (leads && leadership == null) {
-      LOG.info("this VM leads the control log in term {}", node.term());
+      DecisionLog.line(LogEvent.LEADERSHIP_GAINED).with("log_term", node.term()).write();
       leadership = new Leadership(node.term(), promotion, clock.millis());
     }
   }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
@@ -19,6 +19,8 @@
 import org.cowslipdale.daemon.control.ControlPlane;
 import org.cowslipdale.daemon.peer.PeerNetwork;
 import org.cowslipdale.daemon.storage.ControlStore;
+import org.cowslipdale.daemon.telemetry.DecisionLog;
+import org.cowslipdale.daemon.telemetry.LogEvent;
 import org.cowslipdale.daemon.telemetry.Tracing;
 import org.cowslipdale.daemon.version.ViewHolder;
 import org.cowslipdale.daemon.version.VmClock;
@@ -137,7 +139,11 @@
     Awaits.bound(admin.start(), settings.listen().admin());
     callers.start();
     vertx.setPeriodic(QUEUE_TICK_MILLIS, id -> callers.tick(clock.millis()));
-    LOG.info("VM {} serves", settings.vm().label());
+    DecisionLog.line(LogEvent.DAEMON_STARTED)
+        .with("vm", settings.vm().label())
+        .with("name", settings.vm().name())
+        .with("keeps_log", settings.keepsLog())
+        .write();
   }
 
   /**
@@ -146,7 +152,7 @@
    */
   @Override
   public void close() {
-    LOG.info("stopping: not ready any more");
+    DecisionLog.line(LogEvent.DAEMON_STOPPING).with("vm", settings.vm().label()).write();
     long startedMillis = clock.millis();
     readiness.stop();
     long limit = startedMillis + settings.limits().drainLimitMillis() - EXIT_MARGIN_MILLIS;
@@ -163,7 +169,10 @@
     if (store != null) {
       store.close();
     }
-    LOG.info("stopped after {} ms", clock.millis() - startedMillis);
+    DecisionLog.line(LogEvent.DAEMON_STOPPED)
+        .with("vm", settings.vm().label())
+        .with("took_ms", clock.millis() - startedMillis)
+        .write();
   }
 
   /** Takes over the settings that may change while the daemon runs. */
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SettingsWatch.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SettingsWatch.java
@@ -17,6 +17,8 @@
 import org.cowslipdale.config.ini.IniFile;
 import org.cowslipdale.config.settings.DaemonSettings;
 import org.cowslipdale.config.settings.DaemonSettingsReader;
+import org.cowslipdale.daemon.telemetry.DecisionLog;
+import org.cowslipdale.daemon.telemetry.LogEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -67,7 +69,7 @@
       }
       known = text;
       listener.accept(DaemonSettingsReader.read(IniFile.read(file)));
-      LOG.info("the settings file has changed and was read again");
+      DecisionLog.line(LogEvent.SETTINGS_RELOADED).write();
     } catch (IOException e) {
       LOG.warn("the settings file cannot be read; the former settings stay: {}", e.getMessage());
     } catch (IniException e) {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/CallerSession.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/CallerSession.java
@@ -170,6 +170,10 @@
           gate.authorize(open.route(), open.key());
           return new Session(open.route(), open.key(), gate, runner);
         } catch (RefusalException e) {
+          DecisionLog.line(LogEvent.SESSION_REFUSED)
+              .with("route", open.route())
+              .with("code", e.code())
+              .write();
           channel.refused(e);
         }
       }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/PrimaryChecker.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/PrimaryChecker.java
@@ -11,6 +11,8 @@
 import org.cowslipdale.core.view.DatabaseState;
 import org.cowslipdale.daemon.connection.BackendException;
 import org.cowslipdale.daemon.connection.ServerRef;
+import org.cowslipdale.daemon.telemetry.DecisionLog;
+import org.cowslipdale.daemon.telemetry.LogEvent;
 import org.cowslipdale.daemon.version.CurrentView;
 import org.cowslipdale.daemon.version.ViewHolder;
 import org.cowslipdale.daemon.version.VmClock;
@@ -101,6 +103,13 @@
         return;
       }
       if (evidence.failed(database, state.term(), clock.millis())) {
+        DecisionLog.line(LogEvent.PRIMARY_SUSPECTED)
+            .with("database", database)
+            .with("server", primary.get().name())
+            .with("view_term", state.term())
+            .with(
+                "answered_ago_ms", clock.millis() - evidence.answeredMillis(database, state.term()))
+            .write();
         onChange.run();
       }
       Thread.sleep(PAUSE_MILLIS);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/telemetry/LogEvent.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/telemetry/LogEvent.java
@@ -10,6 +10,8 @@
   DAEMON_STOPPED("daemon-stopped"),
   /** The settings file has changed and was read again. */
   SETTINGS_RELOADED("settings-reloaded"),
+  /** A session could not be opened. */
+  SESSION_REFUSED("session-refused"),
   /** A statement was answered with success. */
   STATEMENT_DONE("statement-done"),
   /** A statement was refused or its outcome is unknown. */
@@ -22,8 +24,6 @@
   SERVER_CONNECTION_BROKEN("server-connection-broken"),
   /** A backend server became known, came back, or changed its role or state. */
   SERVER_CHANGED("server-changed"),
-  /** A backend server has been silent for too long and is not used any more. */
-  SERVER_LOST("server-lost"),
   /** This VM reports a primary as unreachable. */
   PRIMARY_SUSPECTED("primary-suspected"),
   /** A change of primary went on to its next phase. */
