--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Leadership.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Leadership.java
@@ -13,11 +13,14 @@
 /** What lives as long as this VM leads the control log; confined to the control thread. */
 final class Leadership {
 
+  private static final long REFUSAL_LINE_MILLIS = 1_000;
+
   private final long term;
   private final LeaseTable leases;
   private final FailoverCoordinator failover;
   private final TokenOwner tokens;
   private final Map<Long, CompletableFuture<ChangeReply>> proposals = new HashMap<>();
+  private final Map<String, Long> refusalsLoggedMillis = new HashMap<>();
 
   Leadership(long term, Promotion promotion, long electedMillis) {
     this.term = term;
@@ -42,6 +45,16 @@
     return tokens;
   }
 
+  /** Bounds the lines on customers over their rates to one a second and customer. */
+  boolean mayLogRefusal(String customer, long now) {
+    Long last = refusalsLoggedMillis.get(customer);
+    boolean due = last == null || now - last >= REFUSAL_LINE_MILLIS;
+    if (due) {
+      refusalsLoggedMillis.put(customer, now);
+    }
+    return due;
+  }
+
   void awaitEntry(long index, CompletableFuture<ChangeReply> reply) {
     proposals.put(index, reply);
   }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -221,7 +221,7 @@
                 request.wanted(),
                 callerVms(current, state.view(), now),
                 now);
-    if (grant.tokens() == 0) {
+    if (grant.tokens() == 0 && current.mayLogRefusal(request.customer(), now)) {
       RateLimit issued = withoutReserve(limit.get(), from, current, now);
       DecisionLog.line(LogEvent.TOKENS_REFUSED)
           .with("customer", request.customer())
