--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/BackendPool.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/BackendPool.java
@@ -4,9 +4,7 @@
 import java.util.concurrent.ConcurrentLinkedDeque;
 import org.cowslipdale.core.admission.QueuePolicy;
 import org.cowslipdale.core.admission.SlotQueue;
-import org.cowslipdale.core.admission.Ticket;
 import org.cowslipdale.core.result.RefusalException;
-import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.daemon.version.VmClock;
 
 /**
@@ -63,7 +61,7 @@
    */
   PooledConnection acquire(String customer, long deadlineMillis)
       throws RefusalException, BackendException {
-    awaitSlot(customer, deadlineMillis);
+    TicketFuture.awaitSlot(queue, customer, deadlineMillis, clock.millis());
     long acquiredAt = clock.millis();
     try {
       return new PooledConnection(connection(), acquiredAt);
@@ -84,20 +82,6 @@
     }
   }
 
-  private void awaitSlot(String customer, long deadlineMillis) throws RefusalException {
-    TicketFuture granted = new TicketFuture();
-    Ticket<TicketFuture> ticket = new Ticket<>(customer, deadlineMillis, granted);
-    switch (queue.offer(ticket, clock.millis())) {
-      case REFUSED -> throw new RefusalException(ResultCode.OVERLOADED);
-      case QUEUED -> {
-        if (!granted.await()) {
-          throw new RefusalException(ResultCode.WAIT_LIMIT_REACHED);
-        }
-      }
-      case DISPATCH -> {}
-    }
-  }
-
   private BackendConnection connection() throws BackendException {
     for (BackendConnection connection = idle.poll(); connection != null; connection = idle.poll()) {
       if (connection.isUsable()) {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
@@ -6,9 +6,7 @@
 import java.util.Map;
 import org.cowslipdale.core.admission.QueuePolicy;
 import org.cowslipdale.core.admission.SlotQueue;
-import org.cowslipdale.core.admission.Ticket;
 import org.cowslipdale.core.result.RefusalException;
-import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.daemon.connection.BackendException;
 import org.cowslipdale.daemon.connection.ServerRef;
 import org.cowslipdale.daemon.connection.TicketFuture;
@@ -76,7 +74,7 @@
    */
   Lease acquire(String customer, Map<String, String> values, long deadlineMillis)
       throws RefusalException, BackendException {
-    awaitPlace(customer, deadlineMillis);
+    TicketFuture.awaitSlot(queue, customer, deadlineMillis, clock.millis());
     long acquiredMillis = clock.millis();
     try {
       return new Lease(connection(customer, values, deadlineMillis), acquiredMillis);
@@ -105,20 +103,6 @@
     return idle.poll();
   }
 
-  private void awaitPlace(String customer, long deadlineMillis) throws RefusalException {
-    TicketFuture granted = new TicketFuture();
-    Ticket<TicketFuture> ticket = new Ticket<>(customer, deadlineMillis, granted);
-    switch (queue.offer(ticket, clock.millis())) {
-      case REFUSED -> throw new RefusalException(ResultCode.OVERLOADED);
-      case QUEUED -> {
-        if (!granted.await()) {
-          throw new RefusalException(ResultCode.WAIT_LIMIT_REACHED);
-        }
-      }
-      case DISPATCH -> {}
-    }
-  }
-
   private PooledSession connection(String customer, Map<String, String> values, long deadlineMillis)
       throws BackendException {
     PooledSession known = takeIdle(customer, values);
