--- a/cowslipdale-config/src/main/java/org/cowslipdale/config/settings/DaemonSettings.java
+++ b/cowslipdale-config/src/main/java/org/cowslipdale/config/settings/DaemonSettings.java
@@ -97,9 +97,8 @@
    * The outside service that carries promotions out.
    *
    * @param address its address
-   * @param callsPerSecond how many calls it accepts from all VMs together
    */
-  public record PromotionService(String address, double callsPerSecond) {}
+  public record PromotionService(String address) {}
 
   /**
    * Addresses that are bound, each an IP number and a port.
--- a/cowslipdale-config/src/main/java/org/cowslipdale/config/settings/DaemonSettingsReader.java
+++ b/cowslipdale-config/src/main/java/org/cowslipdale/config/settings/DaemonSettingsReader.java
@@ -252,9 +252,8 @@
   private Optional<PromotionService> readPromotionService() {
     SectionReader reader = reader("promotion-service");
     Optional<String> address = reader.optionalAddress("address");
-    double rate = reader.decimal("calls-per-second", 10, 0.1, 10_000);
     reader.finish();
-    return address.map(known -> new PromotionService(known, rate));
+    return address.map(PromotionService::new);
   }
 
   /** Reads the section whose keys and values are addresses. */
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlLink.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlLink.java
@@ -44,11 +44,6 @@
     }
   }
 
-  /** Replaces the VMs that are tried when the leader is lost. */
-  void replace(Collection<String> names) {
-    voters = List.copyOf(new TreeSet<>(names));
-  }
-
   void setLocalHandler(PeerHandler handler) {
     local = handler;
   }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlPlane.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlPlane.java
@@ -193,7 +193,7 @@
   }
 
   /**
-   * Replaces the VMs that are tried when the control leader is lost.
+   * Adds VMs that are tried when the control leader is lost.
    *
    * @param seeds the peer addresses of some VMs that keep the control log
    */
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
@@ -50,10 +50,6 @@
     return queue.outstanding();
   }
 
-  synchronized int openConnections() {
-    return open;
-  }
-
   void resize(int connections) {
     synchronized (this) {
       limit = connections;
