--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusNode.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusNode.java
@@ -393,10 +393,7 @@
     leader = self.name();
     leaderSinceMillis = now;
     followers.clear();
-    Set<String> names = new HashSet<>(members);
-    names.addAll(log.voters().names());
-    names.remove(self.name());
-    names.forEach(name -> followers.put(name, new Progress(log.lastIndex() + 1, now)));
+    otherMembers().forEach(name -> followers.put(name, new Progress(log.lastIndex() + 1, now)));
     appendAsLeader(new LogEntry.Noop());
     sendToAll(now);
     advanceCommit(now);
@@ -598,8 +595,7 @@
 
   /** Replaces the identity of a member that came back with a new data folder and caught up. */
   private void replaceLostIdentities() {
-    boolean changePending = log.votersIndex() > commitIndex || log.term(commitIndex) != term;
-    if (changePending) {
+    if (isVoterChangePending()) {
       return;
     }
     for (Map.Entry<String, Progress> entry : followers.entrySet()) {
@@ -622,8 +618,7 @@
 
   /** Removes a voter that has been silent, as long as enough others remain. */
   private void removeSilentVoter(long now) {
-    boolean changePending = log.votersIndex() > commitIndex || log.term(commitIndex) != term;
-    if (changePending || log.voters().identities().size() <= ConsensusTimings.MIN_VOTERS) {
+    if (isVoterChangePending() || log.voters().identities().size() <= ConsensusTimings.MIN_VOTERS) {
       return;
     }
     for (String name : log.voters().names()) {
@@ -667,6 +662,18 @@
     sendTo(request.member().name(), progress, now);
   }
 
+  /** One change of the voters at a time keeps successive quorums overlapping. */
+  private boolean isVoterChangePending() {
+    return log.votersIndex() > commitIndex || log.term(commitIndex) != term;
+  }
+
+  private Set<String> otherMembers() {
+    Set<String> names = new HashSet<>(members);
+    names.addAll(log.voters().names());
+    names.remove(self.name());
+    return names;
+  }
+
   private boolean isLeftOut(long now) {
     boolean silence = now >= heardFromLeaderMillis + ConsensusTimings.ELECTION_MIN_MILLIS;
     boolean newcomer = leader == null && !log.voters().contains(self);
@@ -676,11 +683,8 @@
   /** Asks all known members to be taken in, while none of them sends entries. */
   private void askToJoin(long now) {
     nextJoinMillis = now + ConsensusTimings.JOIN_MILLIS;
-    Set<String> names = new HashSet<>(members);
-    names.addAll(log.voters().names());
-    names.remove(self.name());
     ConsensusMessage.JoinRequest request = new ConsensusMessage.JoinRequest(term, self, false);
-    names.forEach(name -> sends.add(new Send(name, request)));
+    otherMembers().forEach(name -> sends.add(new Send(name, request)));
   }
 
   private void setTerm(long newTerm, @Nullable String vote) {
