Ask servers over connections of their own, not through the pool that waits for replication fill

Cause of the known red (gap of 8.2 to 9.6 s after two kills): orders, position queries and waits for replication went through one HTTP client, whose pool has five connections to each server. A writer that waits for a replica holds one for up to 5 s. The server that was killed first and came back followed nobody yet, so the waits of one VM filled the pool, and the leader's questions on that VM queued behind them and timed out after 600 ms each.

Shown by: stack traces of the restarted server (its event loop idle all the time) and its socket table (exactly five connections from the leader's VM, the same ones for 5 s, none new) during a red run; then by a test that needs no fleet and was red: waitsForReplicationDoNotDelayQuestions. Ruled out: the connections that carry statements (twelve held ones delay nothing), the fault proxy (the way was direct), the server's start and a blocked event loop.

Change: questions and orders use a connection of their own; only waits for replication use the pool.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/HttpDatabaseConnector.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/HttpDatabaseConnector.java
@@ -46,11 +46,7 @@
 
   @Override
   public BackendConnection connect(String address, long timeoutMillis) throws BackendException {
-    HttpConnectOptions options =
-        new HttpConnectOptions()
-            .setHost(host(address))
-            .setPort(port(address))
-            .setConnectTimeout(timeoutMillis);
+    HttpConnectOptions options = server(address, timeoutMillis);
     Context context = vertx.getOrCreateContext();
     try {
       HttpClientConnection connection =
@@ -64,13 +60,13 @@
 
   @Override
   public ServerStatus status(ServerRef server, long timeoutMillis) throws BackendException {
-    return exchange(server.address(), "/status", new PromotionCall(0, null), timeoutMillis);
+    return ask(server.address(), "/status", new PromotionCall(0, null), timeoutMillis);
   }
 
   @Override
   public ServerStatus promote(String address, PromotionCall promotion, long timeoutMillis)
       throws BackendException {
-    return exchange(address, "/promote", promotion, timeoutMillis);
+    return ask(address, "/promote", promotion, timeoutMillis);
   }
 
   @Override
@@ -78,18 +74,53 @@
       throws BackendException {
     BackendCall call =
         new BackendCall("await", 0, false, offset, timeoutMillis, 0, false, null, null);
-    return exchange(address, "/await", call, timeoutMillis + 100);
+    return awaitInPool(address, call, timeoutMillis + 100);
   }
 
-  /** Sends one message over a connection of its own, so that no silent old one is in the way. */
-  private ServerStatus exchange(String address, String path, Object message, long timeoutMillis)
+  /**
+   * Sends one message over a connection of its own, outside the client's pool: the waits for
+   * replication can hold every connection of the pool for seconds.
+   */
+  private ServerStatus ask(String address, String path, Object message, long timeoutMillis)
+      throws BackendException {
+    HttpConnectOptions server = server(address, timeoutMillis);
+    RequestOptions options =
+        new RequestOptions()
+            .setMethod(HttpMethod.POST)
+            .setURI(path)
+            .putHeader("Connection", "close")
+            .setIdleTimeout(timeoutMillis);
+    try {
+      Buffer body = Buffer.buffer(JSON.writeValueAsBytes(message));
+      Future<Buffer> answer =
+          EventLoopCalls.onEventLoop(
+              vertx.getOrCreateContext(),
+              () ->
+                  client.connect(server).compose(connection -> askOnce(connection, options, body)));
+      return JSON.readValue(
+          EventLoopCalls.await(answer, timeoutMillis).getBytes(), ServerStatus.class);
+    } catch (IOException e) {
+      throw new BackendException(true, e);
+    }
+  }
+
+  private static Future<Buffer> askOnce(
+      HttpClientConnection connection, RequestOptions options, Buffer body) {
+    return connection
+        .request(options)
+        .compose(request -> request.send(body))
+        .compose(HttpDatabaseConnector::successBody)
+        .onComplete(ignored -> connection.close());
+  }
+
+  private ServerStatus awaitInPool(String address, BackendCall message, long timeoutMillis)
       throws BackendException {
     RequestOptions options =
         new RequestOptions()
             .setMethod(HttpMethod.POST)
             .setHost(host(address))
             .setPort(port(address))
-            .setURI(path)
+            .setURI("/await")
             .putHeader("Connection", "close")
             .setConnectTimeout(timeoutMillis)
             .setIdleTimeout(timeoutMillis);
@@ -121,6 +152,13 @@
                         new IOException("status " + response.statusCode() + ": " + body)));
   }
 
+  private HttpConnectOptions server(String address, long timeoutMillis) {
+    return new HttpConnectOptions()
+        .setHost(host(address))
+        .setPort(port(address))
+        .setConnectTimeout(timeoutMillis);
+  }
+
   private String host(String announced) {
     String address = reachable.apply(announced);
     return address.substring(0, address.lastIndexOf(':'));
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/connection/HttpDatabaseConnectorTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/connection/HttpDatabaseConnectorTests.java
@@ -15,6 +15,8 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 import org.cowslipdale.config.codec.Codecs;
 import org.cowslipdale.config.protocol.BackendAnswer;
@@ -35,6 +37,7 @@
       new HttpDatabaseConnector(vertx, UnaryOperator.identity());
   private UnaryOperator<String> answeredCall = UnaryOperator.identity();
   private String address = "";
+  private final Semaphore waits = new Semaphore(0);
   private volatile boolean silent;
 
   @BeforeEach
@@ -111,6 +114,31 @@
     assertThat(status.server(), is("bonds-1"));
   }
 
+  /**
+   * Waits for replication last as long as a statement may; the leader's questions must not wait.
+   */
+  @Test
+  void waitsForReplicationDoNotDelayQuestions() throws Exception {
+    silent = true;
+    List<Thread> threads = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      threads.add(Thread.startVirtualThread(this::awaitInVain));
+    }
+    assertThat(waits.tryAcquire(5, TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), is(true));
+    silent = false;
+
+    ServerStatus status = connector.status(new ServerRef("bonds", "bonds-1", address), 600);
+
+    assertThat(status.server(), is("bonds-1"));
+    for (Thread thread : threads) {
+      thread.join();
+    }
+  }
+
+  private void awaitInVain() {
+    assertThrows(BackendException.class, () -> connector.awaitOffset(address, 1, 2_000));
+  }
+
   private void askInVain() {
     assertThrows(
         BackendException.class,
@@ -133,6 +161,7 @@
 
   private void answer(HttpServerRequest request) {
     if (silent) {
+      waits.release();
       return;
     }
     if (request.path().equals("/status")) {
