Elect a leader soon after a restart, and let its tokens count from the end of earlier leases

The new leader then issued tokens only for the time since its election, and refused 1,000 requests inside their customers' rates until 41 s (RATE_EXCEEDED in the decision log). Ruled out: the log's replay (0.08 s); lost votes (one round was enough).

Change: a starting voter counts from the start of its process, before which it heard from nobody, and stands 160 to 500 ms after its start until it first hears from a leader; living leaders are protected by trial votes as before. Votes tell for how long the voter knew of no leader; the quorum's smallest figure bounds the lease of any earlier leader, and the tokens of a new leader accrue from there. FakeVoters now checks that bound against every lease that was ever seen, also under random faults.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusMessage.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusMessage.java
@@ -29,8 +29,9 @@
    * @param voter the voter
    * @param granted whether the vote is given
    * @param trial whether a trial vote was asked for
+   * @param silentMillis for how long the voter has known of no leader, in milliseconds
    */
-  record VoteReply(long term, VoterId voter, boolean granted, boolean trial)
+  record VoteReply(long term, VoterId voter, boolean granted, boolean trial, long silentMillis)
       implements ConsensusMessage {}
 
   /**
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusNode.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusNode.java
@@ -51,6 +51,10 @@
   private long commitIndex;
   private long electionDeadlineMillis;
   private long heardFromLeaderMillis;
+  private boolean heardFromLeader;
+  private long ledUntilMillis = Long.MIN_VALUE / 2;
+  private long formerLeaseEndMillis;
+  private long votersSilentMillis;
   private long nextHeartbeatMillis;
   private long leaderSinceMillis;
   private long nextJoinMillis;
@@ -100,6 +104,8 @@
    * @param snapshot the stored snapshot
    * @param entries the stored entries after the snapshot
    * @param random draws election timeouts
+   * @param startedMillis when this process started, on the VM's monotonic clock: an earlier process
+   *     of this member heard from no leader after this time
    * @param now the present time on the VM's monotonic clock, in milliseconds
    */
   public ConsensusNode(
@@ -109,6 +115,7 @@
       Snapshot snapshot,
       List<LogEntry> entries,
       RandomGenerator random,
+      long startedMillis,
       long now) {
     this.self = new VoterId(self, hardState.identity());
     this.members = Set.copyOf(members);
@@ -117,7 +124,7 @@
     this.term = hardState.term();
     this.votedFor = hardState.votedFor();
     this.commitIndex = snapshot.index();
-    this.heardFromLeaderMillis = now;
+    this.heardFromLeaderMillis = startedMillis;
     resetElectionDeadline(now);
   }
 
@@ -161,6 +168,14 @@
     return leaderSinceMillis;
   }
 
+  /**
+   * Returns the latest time at which an earlier leader could still hold its leader lease, on the
+   * VM's monotonic clock in milliseconds; meaningful only while this member is leader.
+   */
+  public long formerLeaseEndMillis() {
+    return formerLeaseEndMillis;
+  }
+
   /**
    * Tells whether this member is leader and no other member can be one at the present time.
    *
@@ -280,8 +295,7 @@
     }
     role = Role.TRIAL_CANDIDATE;
     leader = null;
-    votes.clear();
-    votes.add(self.name());
+    voteForSelf(now);
     requestVotes(term + 1, true, false);
     countVotes(now);
   }
@@ -290,12 +304,22 @@
     role = Role.CANDIDATE;
     setTerm(term + 1, self.name());
     resetElectionDeadline(now);
-    votes.clear();
-    votes.add(self.name());
+    voteForSelf(now);
     requestVotes(term, false, transfer);
     countVotes(now);
   }
 
+  private void voteForSelf(long now) {
+    votes.clear();
+    votes.add(self.name());
+    votersSilentMillis = silentMillis(now);
+  }
+
+  /** Returns for how long this member has known of no leader, itself included. */
+  private long silentMillis(long now) {
+    return now - Math.max(heardFromLeaderMillis, ledUntilMillis);
+  }
+
   private void requestVotes(long forTerm, boolean trial, boolean transfer) {
     VoteRequest request =
         new VoteRequest(forTerm, self, log.lastIndex(), log.lastTerm(), trial, transfer);
@@ -334,11 +358,11 @@
             || (request.lastTerm() == log.lastTerm() && request.lastIndex() >= log.lastIndex());
     if (request.trial()) {
       boolean granted = request.term() > term && upToDate && !leaderLives;
-      reply(request, granted ? request.term() : term, granted);
+      reply(request, granted ? request.term() : term, granted, now);
       return;
     }
     if (leaderLives && !request.transfer() && request.term() > term) {
-      reply(request, term, false);
+      reply(request, term, false, now);
       return;
     }
     if (request.term() > term) {
@@ -350,11 +374,11 @@
       setTerm(term, request.candidate().name());
       resetElectionDeadline(now);
     }
-    reply(request, term, granted);
+    reply(request, term, granted, now);
   }
 
-  private void reply(VoteRequest request, long replyTerm, boolean granted) {
-    VoteReply reply = new VoteReply(replyTerm, self, granted, request.trial());
+  private void reply(VoteRequest request, long replyTerm, boolean granted, long now) {
+    VoteReply reply = new VoteReply(replyTerm, self, granted, request.trial(), silentMillis(now));
     sends.add(new Send(request.candidate().name(), reply));
   }
 
@@ -373,6 +397,7 @@
             && log.voters().contains(reply.voter());
     if (counts) {
       votes.add(reply.voter().name());
+      votersSilentMillis = Math.min(votersSilentMillis, reply.silentMillis());
       countVotes(now);
     }
   }
@@ -392,6 +417,8 @@
     role = Role.LEADER;
     leader = self.name();
     leaderSinceMillis = now;
+    formerLeaseEndMillis =
+        now - Math.max(0, votersSilentMillis - ConsensusTimings.LEADER_LEASE_MILLIS);
     followers.clear();
     otherMembers().forEach(name -> followers.put(name, new Progress(log.lastIndex() + 1, now)));
     appendAsLeader(new LogEntry.Noop());
@@ -403,6 +430,9 @@
     if (newTerm > term) {
       setTerm(newTerm, null);
     }
+    if (role == Role.LEADER) {
+      ledUntilMillis = now;
+    }
     role = Role.FOLLOWER;
     leader = newLeader;
     votes.clear();
@@ -454,6 +484,7 @@
   private void follow(long newTerm, String newLeader, long now) {
     becomeFollower(newTerm, newLeader, now);
     heardFromLeaderMillis = now;
+    heardFromLeader = true;
   }
 
   private AppendReply refuse(long next, long sentMillis) {
@@ -695,8 +726,15 @@
   }
 
   private void resetElectionDeadline(long now) {
-    long spread = ConsensusTimings.ELECTION_MAX_MILLIS - ConsensusTimings.ELECTION_MIN_MILLIS;
-    electionDeadlineMillis = now + ConsensusTimings.ELECTION_MIN_MILLIS + random.nextLong(spread);
+    long shortest =
+        heardFromLeader
+            ? ConsensusTimings.ELECTION_MIN_MILLIS
+            : ConsensusTimings.FIRST_ELECTION_MIN_MILLIS;
+    long longest =
+        heardFromLeader
+            ? ConsensusTimings.ELECTION_MAX_MILLIS
+            : ConsensusTimings.FIRST_ELECTION_MAX_MILLIS;
+    electionDeadlineMillis = now + shortest + random.nextLong(longest - shortest);
   }
 
   private Output drain() {
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusTimings.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusTimings.java
@@ -15,6 +15,15 @@
   /** The longest silence after which a follower stands for election. */
   public static final long ELECTION_MAX_MILLIS = 1_100;
 
+  /**
+   * The shortest wait of a member that has heard from no leader since it started: a heartbeat of a
+   * living leader must reach it first.
+   */
+  public static final long FIRST_ELECTION_MIN_MILLIS = 160;
+
+  /** The longest such wait: ten round trips between regions lie between two members. */
+  public static final long FIRST_ELECTION_MAX_MILLIS = 500;
+
   /**
    * How long a leader may act after a quorum has answered, counted from the send time. Shorter than
    * {@link #ELECTION_MIN_MILLIS} by the bound on clock drift.
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/quota/TokenOwner.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/quota/TokenOwner.java
@@ -10,8 +10,9 @@
  *
  * <p>Every token is issued once, so all VMs together admit no more than rate and burst allow. A new
  * leader does not know what its predecessor issued and starts with what the rate has yielded since
- * its election. Issued tokens count against the burst until they are reported as used or expire, so
- * a stock of tokens on VMs cannot add to the burst. This class is confined to one thread.
+ * the predecessor could last issue any. Issued tokens count against the burst until they are
+ * reported as used or expire, so a stock of tokens on VMs cannot add to the burst. This class is
+ * confined to one thread.
  */
 public final class TokenOwner {
 
@@ -27,7 +28,7 @@
   /** A rate may rise at any time, so no VM is told to wait for longer, in milliseconds. */
   static final long LONGEST_RETRY_MILLIS = 250;
 
-  private final long electedMillis;
+  private final long formerOwnerEndMillis;
   private final Map<String, Bucket> buckets = new HashMap<>();
 
   private static final class Bucket {
@@ -55,10 +56,11 @@
   /**
    * Creates the owner on a new leader.
    *
-   * @param electedMillis when the leader was elected, on its monotonic clock
+   * @param formerOwnerEndMillis when an earlier leader could last issue tokens, on the leader's
+   *     monotonic clock
    */
-  public TokenOwner(long electedMillis) {
-    this.electedMillis = electedMillis;
+  public TokenOwner(long formerOwnerEndMillis) {
+    this.formerOwnerEndMillis = formerOwnerEndMillis;
   }
 
   /**
@@ -74,7 +76,7 @@
    */
   public Grant issue(
       String customer, RateLimit limit, String vm, long unused, long wanted, int vms, long now) {
-    Bucket bucket = buckets.computeIfAbsent(customer, name -> new Bucket(electedMillis));
+    Bucket bucket = buckets.computeIfAbsent(customer, name -> new Bucket(formerOwnerEndMillis));
     long kept = Math.min(unused, remaining(bucket.stocks.get(vm), now));
     if (kept == 0) {
       bucket.stocks.remove(vm);
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/consensus/ConsensusNodeTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/consensus/ConsensusNodeTests.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.notNullValue;
 
@@ -48,6 +49,24 @@
     assertThat(voters.awaitLeader(PATIENCE_MILLIS), notNullValue());
   }
 
+  /** A process takes longer to start than a lease lasts, so nobody's lease has to be waited for. */
+  @ParameterizedTest
+  @ValueSource(longs = {31, 32, 33, 34, 35, 36, 37, 38, 39, 40})
+  void electsALeaderSoonAfterAllVotersWereKilled(long seed) {
+    FakeVoters voters = new FakeVoters(seed, "vm1", "vm2", "vm3");
+    voters.awaitLeader(PATIENCE_MILLIS);
+    voters.run(2_000);
+    List.of("vm1", "vm2", "vm3").forEach(voters::crash);
+    voters.run(2_500);
+
+    List.of("vm1", "vm2", "vm3").forEach(voters::restart);
+    long before = voters.now();
+    Member leader = voters.awaitLeader(PATIENCE_MILLIS);
+
+    assertThat(voters.now() - before, lessThan(ConsensusTimings.ELECTION_MIN_MILLIS + 200));
+    assertThat(leader.node.formerLeaseEndMillis(), lessThan(before));
+  }
+
   @Test
   void handsLeadershipOverWithoutWaitingForATimeout() {
     FakeVoters voters = new FakeVoters(3, "vm1", "vm2", "vm3");
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/consensus/FakeVoters.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/consensus/FakeVoters.java
@@ -22,6 +22,9 @@
 
   private static final long STEP_MILLIS = 5;
 
+  /** How long a process runs before its member takes part. */
+  private static final long PROCESS_START_MILLIS = 800;
+
   private final Random random;
   private final Map<String, Member> members = new TreeMap<>();
   private final PriorityQueue<InFlight> network =
@@ -29,6 +32,7 @@
   private final Set<String> isolated = new HashSet<>();
   private final Map<Long, LogEntry> committed = new HashMap<>();
   private final Map<Long, String> leaders = new HashMap<>();
+  private final Map<String, Long> leaseSeen = new HashMap<>();
   private double lossRate;
   private long now;
   private long order;
@@ -71,6 +75,7 @@
     @Nullable ConsensusNode node;
     ControlState state = ControlState.EMPTY;
     long applied;
+    long crashedMillis;
 
     Member(String name, Set<String> known, Disk disk) {
       this.name = name;
@@ -94,6 +99,7 @@
 
   void crash(String name) {
     members.get(name).node = null;
+    members.get(name).crashedMillis = now;
   }
 
   void restart(String name) {
@@ -190,6 +196,7 @@
             member.disk.snapshot,
             member.disk.entries,
             new Random(random.nextLong()),
+            Math.max(member.crashedMillis, now - PROCESS_START_MILLIS),
             now);
   }
 
@@ -237,6 +244,26 @@
     }
   }
 
+  /** The time that a leader holds to be the end of earlier leases must not be too early. */
+  private void checkFormerLease(Member leader) {
+    String term = leader.name + " " + leader.node.term();
+    leaseSeen.put(term, now);
+    leaseSeen.forEach(
+        (other, seen) -> {
+          if (!other.equals(term) && seen > leader.node.formerLeaseEndMillis()) {
+            throw new AssertionError(
+                "the lease of "
+                    + other
+                    + " was valid at "
+                    + seen
+                    + ", later than "
+                    + term
+                    + " holds: "
+                    + leader.node.formerLeaseEndMillis());
+          }
+        });
+  }
+
   private void checkLeaders() {
     List<String> leased = new ArrayList<>();
     for (Member member : running()) {
@@ -248,6 +275,7 @@
       }
       if (member.node.holdsLeaderLease(now)) {
         leased.add(member.name);
+        checkFormerLease(member);
       }
     }
     if (leased.size() > 1) {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Leadership.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Leadership.java
@@ -22,11 +22,11 @@
   private final Map<Long, CompletableFuture<ChangeReply>> proposals = new HashMap<>();
   private final Map<String, Long> refusalsLoggedMillis = new HashMap<>();
 
-  Leadership(long term, Promotion promotion, long electedMillis) {
+  Leadership(long term, Promotion promotion, long electedMillis, long formerLeaseEndMillis) {
     this.term = term;
     this.failover = new FailoverCoordinator(promotion);
     this.leases = new LeaseTable(electedMillis);
-    this.tokens = new TokenOwner(electedMillis);
+    this.tokens = new TokenOwner(formerLeaseEndMillis);
   }
 
   long term() {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -69,12 +69,6 @@
   private @Nullable Leadership leadership;
   private boolean failed;
 
-  /** Sends messages to other VMs. */
-  interface PeerSender {
-
-    void send(String to, PeerMessage message);
-  }
-
   Voter(
       String vm,
       Set<String> voters,
@@ -101,6 +95,7 @@
             store.snapshot(),
             store.entries(),
             new Random(),
+            clock.processStartMillis(),
             clock.millis());
     this.state = store.snapshot().state();
     this.appliedIndex = store.snapshot().index();
@@ -399,7 +394,8 @@
     }
     if (leads && leadership == null) {
       DecisionLog.line(LogEvent.LEADERSHIP_GAINED).with("log_term", node.term()).write();
-      leadership = new Leadership(node.term(), promotion, clock.millis());
+      leadership =
+          new Leadership(node.term(), promotion, clock.millis(), node.formerLeaseEndMillis());
     }
   }
 
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/version/VmClock.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/version/VmClock.java
@@ -6,6 +6,7 @@
 import java.lang.foreign.MemorySegment;
 import java.lang.foreign.ValueLayout;
 import java.lang.invoke.MethodHandle;
+import java.lang.management.ManagementFactory;
 import java.time.Clock;
 import java.util.concurrent.TimeUnit;
 
@@ -31,6 +32,14 @@
     return bootTimeMillis();
   }
 
+  /**
+   * Returns a time on the monotonic clock at which this process already ran, as early as can be
+   * told, in milliseconds.
+   */
+  public long processStartMillis() {
+    return millis() - ManagementFactory.getRuntimeMXBean().getUptime();
+  }
+
   /** Returns the time on the wall clock, in milliseconds since the epoch. */
   public long wallMillis() {
     return wall.millis();
