Wait for a primary's announcement before a new leader takes it to be gone

Ruled out: reports of the VMs (none failed to reach it) and the platform (it accepted the call). Change: a leader waits 3.5 s, two announcements and a repeated one, from when it first looks at a database. Test red before: aNewLeaderWaitsToHearOfThePrimary.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
@@ -47,10 +47,17 @@
   /** How long a promotion by an outside service may take before another one is begun. */
   private static final long SERVICE_TIMEOUT_MILLIS = 6_000;
 
+  /**
+   * How long a new leader waits to hear of the primary before it takes it to be gone, in
+   * milliseconds: two announcements and a repeated one.
+   */
+  private static final long UNHEARD_MILLIS = 3_500;
+
   private final String database;
   private final Promotion promotion;
   private final Map<String, Long> orderedMillis = new HashMap<>();
   private final Map<String, LogPosition> positions = new HashMap<>();
+  private long watchedSinceMillis = Long.MAX_VALUE;
   private Step step = Step.STEADY;
   private long stepMillis;
   private long ownTerm;
@@ -98,6 +105,7 @@
 
   /** Advances the change of primary and returns what is to be done. */
   List<FailoverAction> tick(Situation situation) {
+    watchedSinceMillis = Math.min(watchedSinceMillis, situation.now());
     List<FailoverAction> actions = new ArrayList<>();
     switch (step) {
       case STEADY -> steady(situation, actions);
@@ -175,7 +183,10 @@
     boolean demoted =
         settled && server.isPresent() && server.get().announcement().role() != ServerRole.PRIMARY;
     boolean leaving = server.isPresent() && server.get().announcement().leaving();
-    boolean vanished = promotion instanceof Promotion.ByService && server.isEmpty();
+    boolean vanished =
+        promotion instanceof Promotion.ByService
+            && server.isEmpty()
+            && situation.now() - watchedSinceMillis >= UNHEARD_MILLIS;
     return situation.suspect()
         || demoted
         || vanished
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/failover/ServicePromotionTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/failover/ServicePromotionTests.java
@@ -63,6 +63,18 @@
     assertThat(view.database("bonds").term(), is(2L));
   }
 
+  /** After a restart of the fleet the announcements of the servers arrive one after the other. */
+  @Test
+  void aNewLeaderWaitsToHearOfThePrimary() {
+    FailoverCoordinator next = new FailoverCoordinator(new Promotion.ByService());
+    BackendRegistry heard = new BackendRegistry(60_000);
+    heard.announce(announcement("bonds-2", ServerRole.REPLICA, false), 0, now);
+
+    assertThat(next.tick(view, heard, LEASED, version -> true, now), empty());
+    assertThat(next.tick(view, heard, LEASED, version -> true, now + 3_000), empty());
+    assertThat(next.tick(view, heard, LEASED, version -> true, now + 3_500), hasSize(1));
+  }
+
   @Test
   void theHighestReplicaIsPromotedWithTheFenceOfItsTerm() {
     Promote promote = suspectAndChoose();
@@ -173,23 +185,24 @@
   }
 
   private void announce(String server, ServerRole role, boolean leaving) {
-    registry.announce(
-        new Announcement(
-            "bonds",
-            server,
-            "address-of-" + server,
-            "praha-a",
-            "praha",
-            role,
-            LogPosition.ZERO,
-            0,
-            5,
-            30,
-            leaving,
-            1,
-            ++sequence),
+    registry.announce(announcement(server, role, leaving), 0, now);
+  }
+
+  private Announcement announcement(String server, ServerRole role, boolean leaving) {
+    return new Announcement(
+        "bonds",
+        server,
+        "address-of-" + server,
+        "praha-a",
+        "praha",
+        role,
+        LogPosition.ZERO,
         0,
-        now);
+        5,
+        30,
+        leaving,
+        1,
+        ++sequence);
   }
 
   private static View view() {
