Give back the tokens of requests that no server saw, and wait equally long for one on all routes

Ruled out: the rates themselves (1.6 times the load). Change: a token goes back to the VM's stock when nothing was sent to a server, as far as the stock needs it; the wait is 200 ms on every route whose target allows it. Tests red before: aTokenThatNoServerSawIsUsedByTheNextRequest, tokensGivenBackDoNotAddUpToARush.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/quota/TokenStock.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/quota/TokenStock.java
@@ -88,6 +88,20 @@
     return true;
   }
 
+  /**
+   * Takes back a token whose request was not run, if the stock needs it; more would only wait for a
+   * later rush.
+   *
+   * @param now the present time on the VM's monotonic clock, in milliseconds
+   */
+  public synchronized Progress<T> giveBack(long now) {
+    boolean valid = now < expiresMillis;
+    if (valid && tokens < wanted()) {
+      tokens++;
+    }
+    return advance(now);
+  }
+
   /**
    * Returns the request to send to the owner of the tokens, if one is due.
    *
@@ -99,7 +113,7 @@
     if ((asking && !lost) || now < askAgainMillis) {
       return Optional.empty();
     }
-    long wanted = waiting.size() + (long) Math.ceil(demandPerMilli * AHEAD_MILLIS);
+    long wanted = wanted();
     boolean low = tokens < wanted && (tokens * 2 < wanted || !waiting.isEmpty());
     if (wanted == 0 || !low) {
       return Optional.empty();
@@ -156,6 +170,10 @@
     return new Progress<>(dispatched, expired);
   }
 
+  private long wanted() {
+    return waiting.size() + (long) Math.ceil(demandPerMilli * AHEAD_MILLIS);
+  }
+
   private void dropExpired(long now) {
     if (now >= expiresMillis) {
       tokens = 0;
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/quota/TokenTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/quota/TokenTests.java
@@ -212,4 +212,33 @@
     assertThat(grant.tokens(), is(0L));
     assertThat(grant.retryMillis(), lessThan(251L));
   }
+
+  /** Without it, requests that met no server use up the rate of those that come after them. */
+  @Test
+  void aTokenThatNoServerSawIsUsedByTheNextRequest() {
+    TokenStock<Integer> stock = new TokenStock<>();
+    stock.offer(new Ticket<>("acme", 1_000, 1), 10, 10, 0);
+    TokenStock.Ask ask = stock.poll(0).orElseThrow();
+    stock.granted(1, 0, ask.sentMillis(), 10);
+    stock.offer(new Ticket<>("acme", 1_000, 2), 10, 10, 20);
+
+    assertThat(stock.giveBack(30).dispatched().size(), is(1));
+  }
+
+  @Test
+  void tokensGivenBackDoNotAddUpToARush() {
+    TokenStock<Integer> stock = new TokenStock<>();
+    stock.offer(new Ticket<>("acme", 1_000, 1), 10, 10, 0);
+    TokenStock.Ask ask = stock.poll(0).orElseThrow();
+    stock.granted(1, 0, ask.sentMillis(), 10);
+    for (int i = 0; i < 100; i++) {
+      stock.giveBack(30);
+    }
+    int admitted = 0;
+    for (int i = 0; i < 100; i++) {
+      admitted += stock.tryTake(40) ? 1 : 0;
+    }
+
+    assertThat(admitted, lessThanOrEqualTo(1));
+  }
 }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetRateLimiter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetRateLimiter.java
@@ -66,6 +66,14 @@
     }
   }
 
+  @Override
+  public void giveBack(String customer) {
+    TokenStock<TicketFuture> stock = stocks.get(customer);
+    if (stock != null && holdsLease()) {
+      TicketFuture.wake(stock.giveBack(clock.millis()));
+    }
+  }
+
   private void acquireLocally(String identity, RateLimit limit) throws RefusalException {
     int vms = Math.max(1, views.get().callerVms());
     LocalShare share = shares.computeIfAbsent(identity, name -> new LocalShare());
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/RateLimiter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/RateLimiter.java
@@ -13,4 +13,11 @@
    * @throws RefusalException if the allowance is used up until the deadline
    */
   void acquire(String customer, long deadlineMillis) throws RefusalException;
+
+  /**
+   * Gives back what was taken for a request that was sent to no server.
+   *
+   * @param customer the customer for which it was taken
+   */
+  void giveBack(String customer);
 }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionGate.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionGate.java
@@ -32,6 +32,13 @@
    */
   private static final long TOKEN_WAIT_DIVISOR = 5;
 
+  /**
+   * The longest wait for a token, in milliseconds. Requests of a customer over its rate then have
+   * the same chance on all its routes; with waits by the targets alone, the routes with short ones
+   * are refused first.
+   */
+  private static final long TOKEN_WAIT_MILLIS = 200;
+
   /** How long the opening of a session waits for the VM's first view, in milliseconds. */
   private static final long OPEN_WAIT_MILLIS = 1_500;
 
@@ -93,7 +100,8 @@
     Operation operation = authorize(routeName, key);
     if (!operation.customer().equals(NO_CUSTOMER)) {
       SessionRoute route = operation.route();
-      long wait = Math.min(route.statementLimitMillis(), route.targetMillis() / TOKEN_WAIT_DIVISOR);
+      long limit = Math.min(route.statementLimitMillis(), TOKEN_WAIT_MILLIS);
+      long wait = Math.min(limit, route.targetMillis() / TOKEN_WAIT_DIVISOR);
       limiter.acquire(operation.customer(), receivedMillis + wait);
     }
     return operation;
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -168,6 +168,7 @@
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private final long startedMillis;
     private ResultCode lastReason = ResultCode.WAIT_LIMIT_REACHED;
+    private boolean sent;
 
     Attempts(Job job) {
       this.job = job;
@@ -178,7 +179,19 @@
     abstract Optional<T> attempt(RunOn target, SessionPool.Lease lease)
         throws RefusalException, BackendException;
 
+    /** Runs the statement; a token that no server saw the use of is given back. */
     T run() throws RefusalException {
+      try {
+        return runOnSomeServer();
+      } catch (RefusalException e) {
+        if (!sent) {
+          context.limiter().giveBack(job.operation().customer());
+        }
+        throw e;
+      }
+    }
+
+    private T runOnSomeServer() throws RefusalException {
       while (true) {
         switch (route()) {
           case SessionTarget.Wait wait -> pause(wait.code());
@@ -223,6 +236,7 @@
       }
       try {
         lease.session().align(job.values(), remaining());
+        sent = true;
         return attempt(target, lease);
       } catch (BackendException e) {
         lease.close();
