Tell servers to VMs that know none yet, and keep announcements until the other VMs are known

Change: announcements wait for the first view; the leader sends what it knows to a VM whose first lease it grants. Tests red before: AnnouncementRelayTests (new).

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/AnnouncementRelay.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/AnnouncementRelay.java
@@ -2,8 +2,9 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.cowslipdale.core.backend.Announcement;
@@ -30,19 +31,19 @@
   private final String vm;
   private final BackendRegistry registry;
   private final ViewHolder views;
-  private final ControlLink link;
+  private final PeerSender sender;
   private final VmClock clock;
   private final Map<String, Relayed> relayed = new HashMap<>();
-  private final List<Announcement> pending = new ArrayList<>();
+  private final Map<String, Announcement> pending = new LinkedHashMap<>();
 
   private record Relayed(Announcement announcement, long atMillis) {}
 
   AnnouncementRelay(
-      String vm, BackendRegistry registry, ViewHolder views, ControlLink link, VmClock clock) {
+      String vm, BackendRegistry registry, ViewHolder views, PeerSender sender, VmClock clock) {
     this.vm = requireNonNull(vm, "vm");
     this.registry = requireNonNull(registry, "registry");
     this.views = requireNonNull(views, "views");
-    this.link = requireNonNull(link, "link");
+    this.sender = requireNonNull(sender, "sender");
     this.clock = requireNonNull(clock, "clock");
   }
 
@@ -60,7 +61,7 @@
             || differs(last.announcement(), announcement);
     if (news && due) {
       relayed.put(announcement.server(), new Relayed(announcement, now));
-      pending.add(announcement);
+      pending.put(announcement.server(), announcement);
     }
   }
 
@@ -102,25 +103,36 @@
     }
   }
 
-  /** Sends what is pending. */
+  /** Sends what is pending; it waits while this VM does not know the others. */
   void flush() {
-    if (pending.isEmpty()) {
+    Collection<VmRecord> members = views.get().view().activeVms();
+    if (pending.isEmpty() || members.isEmpty()) {
       return;
     }
-    long now = clock.millis();
-    List<RelayedAnnouncement> items = new ArrayList<>();
-    for (Announcement announcement : pending) {
-      Relayed last = relayed.get(announcement.server());
-      items.add(new RelayedAnnouncement(announcement, age(last, now)));
-    }
+    Announcements news = new Announcements(withAges(pending.values()));
     pending.clear();
-    for (VmRecord member : views.get().view().activeVms()) {
+    for (VmRecord member : members) {
       if (!member.name().equals(vm)) {
-        link.send(member.name(), new Announcements(items));
+        sender.send(member.name(), news);
       }
     }
   }
 
+  /** Sends all that is known to a VM that knows nothing yet. */
+  void introduce(String newcomer) {
+    if (!newcomer.equals(vm) && !relayed.isEmpty()) {
+      List<Announcement> known = relayed.values().stream().map(Relayed::announcement).toList();
+      sender.send(newcomer, new Announcements(withAges(known)));
+    }
+  }
+
+  private List<RelayedAnnouncement> withAges(Collection<Announcement> announcements) {
+    long now = clock.millis();
+    return announcements.stream()
+        .map(each -> new RelayedAnnouncement(each, age(relayed.get(each.server()), now)))
+        .toList();
+  }
+
   private static long age(@Nullable Relayed last, long now) {
     return last == null ? 0 : now - last.atMillis();
   }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlPlane.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlPlane.java
@@ -36,6 +36,7 @@
 import org.cowslipdale.daemon.peer.PeerMessage.FleetQuery;
 import org.cowslipdale.daemon.peer.PeerMessage.FleetReply;
 import org.cowslipdale.daemon.peer.PeerMessage.ForwardReply;
+import org.cowslipdale.daemon.peer.PeerMessage.LeaseReply;
 import org.cowslipdale.daemon.peer.PeerMessage.LeaseRequest;
 import org.cowslipdale.daemon.peer.PeerMessage.TokenRequest;
 import org.cowslipdale.daemon.peer.PeerNetwork;
@@ -137,7 +138,7 @@
         this.prober = null;
       }
     }
-    this.relay = new AnnouncementRelay(vm, registry, views, link, clock);
+    this.relay = new AnnouncementRelay(vm, registry, views, link::send, clock);
     this.claims = new ClaimTable(clock.wallMillis());
     this.limiter = new FleetRateLimiter(link, views, clock);
     this.fleetClaims = new FleetClaims(link, views, clock);
@@ -346,7 +347,7 @@
     }
     switch (message) {
       case PeerMessage.Consensus consensus -> voter.receive(consensus.message());
-      case LeaseRequest request -> reply.accept(voter.lease(from, request));
+      case LeaseRequest request -> lease(voter, from, request, reply);
       case PeerMessage.Registration registration -> voter.register(registration.vm());
       case TokenRequest request -> reply.accept(voter.issueTokens(from, request));
       case FleetQuery query -> reply.accept(voter.fleet(query));
@@ -356,6 +357,15 @@
     }
   }
 
+  private void lease(Voter leader, String from, LeaseRequest request, Consumer<PeerMessage> reply) {
+    LeaseReply answer = leader.lease(from, request);
+    reply.accept(answer);
+    boolean newcomer = request.version() == 0;
+    if (answer.granted() && newcomer) {
+      relay.introduce(from);
+    }
+  }
+
   private PeerMessage claim(ClaimRequest request) {
     ClaimReply answer =
         RequestId.parse(request.requestId())
