Route a read again while it waits for a place at a server

Cause: after a restart no position of a primary is known, so all reads queue at the primaries, five connections for each VM.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
@@ -65,12 +65,15 @@
   /**
    * Waits for a place and a connection.
    *
+   * @param placeByMillis until when to wait for a place, on the VM's monotonic clock
+   * @param deadlineMillis until when a connection must be open
    * @throws RefusalException if the deadline forbids it; nothing was sent
    * @throws BackendException if no connection can be opened; nothing was sent
    */
-  Lease acquire(String customer, Map<String, String> values, long deadlineMillis)
+  Lease acquire(
+      String customer, Map<String, String> values, long placeByMillis, long deadlineMillis)
       throws RefusalException, BackendException {
-    TicketFuture.awaitSlot(queue, customer, deadlineMillis, clock.millis());
+    TicketFuture.awaitSlot(queue, customer, placeByMillis, clock.millis());
     long acquiredMillis = clock.millis();
     try {
       return new Lease(connection(customer, values, deadlineMillis), acquiredMillis);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
@@ -52,9 +52,10 @@
       CurrentView current,
       String customer,
       Map<String, String> values,
+      long placeByMillis,
       long deadlineMillis)
       throws RefusalException, BackendException {
-    return pool(server, current).acquire(customer, values, deadlineMillis);
+    return pool(server, current).acquire(customer, values, placeByMillis, deadlineMillis);
   }
 
   /** Closes the idle connections to a server, because one of them has failed. */
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -21,6 +21,7 @@
 import org.cowslipdale.core.statement.Statement.PreparedStatement;
 import org.cowslipdale.core.statement.TransactionState;
 import org.cowslipdale.core.view.DatabaseState;
+import org.cowslipdale.core.view.Freshness;
 import org.cowslipdale.daemon.connection.BackendException;
 import org.cowslipdale.daemon.telemetry.DecisionLog;
 import org.cowslipdale.daemon.telemetry.LogEvent;
@@ -47,6 +48,12 @@
   /** A statement with less time left is not sent; it could hardly be answered. */
   private static final long LEAST_RUN_MILLIS = 60;
 
+  /**
+   * How long a read that other servers may serve waits for a place before it is routed again: a few
+   * times what a statement takes, and what a replica lags.
+   */
+  private static final long REROUTE_MILLIS = 100;
+
   /** An answer that was awaited for less says nothing about the server. */
   private static final long SILENCE_MILLIS = 400;
 
@@ -82,6 +89,11 @@
       LogPosition seen,
       long deadlineMillis) {
 
+    /** Tells whether only the primary can ever run it. */
+    boolean needsPrimary() {
+      return write() || operation.route().freshness() instanceof Freshness.Latest;
+    }
+
     boolean write() {
       return switch (statement) {
         case Statement.Access access -> access.write();
@@ -208,6 +220,11 @@
 
     private Optional<T> tryServer(RunOn target) throws RefusalException {
       SessionPool.Lease lease;
+      long lastStartMillis = job.deadlineMillis() - LEAST_RUN_MILLIS;
+      long rerouteMillis =
+          job.needsPrimary()
+              ? lastStartMillis
+              : Math.min(lastStartMillis, context.clock().millis() + REROUTE_MILLIS);
       try {
         lease =
             context
@@ -217,13 +234,14 @@
                     context.views().get(),
                     job.operation().customer(),
                     job.values(),
-                    job.deadlineMillis() - LEAST_RUN_MILLIS);
+                    rerouteMillis,
+                    lastStartMillis);
       } catch (BackendException e) {
         notConnected(target, e);
         return Optional.empty();
       } catch (RefusalException e) {
         lastReason = e.code();
-        if (job.write() || target.leaseNeeded()) {
+        if (job.needsPrimary()) {
           throw e;
         }
         return Optional.empty();
--- /dev/null
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/FakeServers.java
@@ -0,0 +1,81 @@
+package org.cowslipdale.daemon.session;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.cowslipdale.core.session.LogPosition;
+import org.cowslipdale.core.statement.ServerCommand;
+import org.cowslipdale.core.statement.ServerReply;
+import org.cowslipdale.core.statement.TransactionState;
+import org.cowslipdale.daemon.connection.BackendException;
+import org.cowslipdale.daemon.connection.ServerRef;
+
+/** Servers in this process that answer every statement, or hold chosen ones back. */
+final class FakeServers implements SessionConnector {
+
+  private final Map<String, CountDownLatch> held = new ConcurrentHashMap<>();
+  private final Queue<String> runs = new ConcurrentLinkedQueue<>();
+
+  /** Holds the answer to a statement back until it is released. */
+  CountDownLatch hold(String id) {
+    return held.computeIfAbsent(id, key -> new CountDownLatch(1));
+  }
+
+  /** Returns what ran, each as the name of the server and the id of the statement. */
+  List<String> runs() {
+    return List.copyOf(runs);
+  }
+
+  @Override
+  public ServerConnection connect(ServerRef server, String customer, long timeoutMillis) {
+    return new Connection(server.server());
+  }
+
+  private final class Connection implements ServerConnection {
+
+    private final String server;
+    private volatile boolean usable = true;
+
+    Connection(String server) {
+      this.server = server;
+    }
+
+    @Override
+    public ServerReply execute(ServerCommand command, long timeoutMillis) throws BackendException {
+      if (command instanceof ServerCommand.Run run) {
+        runs.add(server + " " + run.statement().id());
+        awaitRelease(run.statement().id(), timeoutMillis);
+      }
+      return new ServerReply(
+          List.of("row"), "signed", null, TransactionState.IDLE, new LogPosition(1, 7));
+    }
+
+    private void awaitRelease(String id, long timeoutMillis) throws BackendException {
+      CountDownLatch latch = held.get(id);
+      try {
+        if (latch != null && !latch.await(timeoutMillis, TimeUnit.MILLISECONDS)) {
+          usable = false;
+          throw new BackendException(true, new IOException("no answer"));
+        }
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        throw new BackendException(true, e);
+      }
+    }
+
+    @Override
+    public boolean isUsable() {
+      return usable;
+    }
+
+    @Override
+    public void close() {
+      usable = false;
+    }
+  }
+}
--- /dev/null
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
@@ -0,0 +1,225 @@
+package org.cowslipdale.daemon.session;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cowslipdale.core.backend.Announcement;
+import org.cowslipdale.core.backend.BackendRegistry;
+import org.cowslipdale.core.backend.ServerHealth;
+import org.cowslipdale.core.backend.ServerRole;
+import org.cowslipdale.core.failover.PrimaryEvidence;
+import org.cowslipdale.core.result.RefusalException;
+import org.cowslipdale.core.routing.ReplicaProgress;
+import org.cowslipdale.core.routing.SessionRouter;
+import org.cowslipdale.core.session.LogPosition;
+import org.cowslipdale.core.statement.ServerReply;
+import org.cowslipdale.core.statement.Statement;
+import org.cowslipdale.core.view.Configuration;
+import org.cowslipdale.core.view.Database;
+import org.cowslipdale.core.view.DeclaredDocument;
+import org.cowslipdale.core.view.Freshness;
+import org.cowslipdale.core.view.SessionRoute;
+import org.cowslipdale.core.view.View;
+import org.cowslipdale.core.view.ViewCommand;
+import org.cowslipdale.daemon.request.RateLimiter;
+import org.cowslipdale.daemon.version.ViewHolder;
+import org.cowslipdale.daemon.version.VmClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests how statements find a server, against servers in this process. */
+class SessionRunnerTests {
+
+  private static final long LIMIT_MILLIS = 2_000;
+
+  /** The pool keeps two of a server's connections free, so two remain for statements. */
+  private static final int CONNECTION_LIMIT = 4;
+
+  private final VmClock clock = new VmClock();
+  private ViewHolder views = new ViewHolder(clock.millis());
+  private final BackendRegistry registry = new BackendRegistry(60_000);
+  private final FakeServers servers = new FakeServers();
+  private final ServerHealth health = new ServerHealth();
+  private final SessionPools pools = new SessionPools(servers, clock, 100, health);
+  private final AtomicInteger tokensGivenBack = new AtomicInteger();
+  private final List<Thread> threads = new ArrayList<>();
+  private final List<CountDownLatch> held = new ArrayList<>();
+  private SessionRunner runner;
+
+  @BeforeEach
+  void start() {
+    views.publish(view(), clock.millis() + 60_000, 1);
+    announce("bonds-1", ServerRole.PRIMARY);
+    announce("bonds-2", ServerRole.REPLICA);
+    runner = runner();
+    threads.add(Thread.startVirtualThread(this::tickPools));
+  }
+
+  private SessionRunner runner() {
+    PrimaryEvidence evidence = new PrimaryEvidence();
+    ReplicaProgress progress = new ReplicaProgress();
+    SessionContext context =
+        new SessionContext(
+            views,
+            registry,
+            health,
+            new SessionRouter("a", "r", pools, progress),
+            pools,
+            progress,
+            evidence,
+            new CountingLimiter(),
+            clock);
+    return new SessionRunner(
+        context, new PrimaryChecker(views, registry, servers, evidence, clock, () -> {}));
+  }
+
+  @AfterEach
+  void stop() throws InterruptedException {
+    held.forEach(CountDownLatch::countDown);
+    threads.getFirst().interrupt();
+    for (Thread thread : threads) {
+      thread.join();
+    }
+    pools.close();
+  }
+
+  /** After a restart all reads queue for the primary until it has stated a position. */
+  @Test
+  void aReadLeavesTheQueueOfThePrimaryWhenAReplicaMayServeIt() throws Exception {
+    startHeld("write-1");
+    CountDownLatch second = startHeld("write-2");
+    awaitRun("bonds-1 write-2");
+    startHeld("write-3");
+    Thread.sleep(20);
+    Thread.startVirtualThread(
+        () -> {
+          pause(150);
+          second.countDown();
+        });
+
+    ServerReply reply = runner.run(job("read-1", false, new Freshness.BoundedAge(1_500)));
+
+    assertThat(reply.failure() == null, is(true));
+    assertThat(servers.runs(), hasItem("bonds-2 read-1"));
+  }
+
+  @Test
+  void theTokenOfAStatementThatReachedNoServerIsGivenBack() throws Exception {
+    startHeld("write-1");
+    startHeld("write-2");
+    awaitRun("bonds-1 write-2");
+
+    try {
+      runner.run(job("write-3", true, new Freshness.Latest(), 200));
+    } catch (RefusalException e) {
+      assertThat(e.code().outcome().name(), is("NOT_RUN"));
+    }
+
+    assertThat(tokensGivenBack.get(), is(1));
+  }
+
+  private CountDownLatch startHeld(String id) {
+    CountDownLatch latch = servers.hold(id);
+    held.add(latch);
+    threads.add(
+        Thread.startVirtualThread(
+            () -> {
+              try {
+                runner.run(job(id, true, new Freshness.Latest()));
+              } catch (RefusalException e) {
+                // The test ends before the answer.
+              }
+            }));
+    return latch;
+  }
+
+  private void awaitRun(String run) {
+    for (int i = 0; i < 200 && !servers.runs().contains(run); i++) {
+      pause(5);
+    }
+  }
+
+  private void tickPools() {
+    while (!Thread.currentThread().isInterrupted()) {
+      pools.tick(clock.millis());
+      pause(10);
+    }
+  }
+
+  private SessionRunner.Job job(String id, boolean write, Freshness freshness) {
+    return job(id, write, freshness, LIMIT_MILLIS);
+  }
+
+  private SessionRunner.Job job(String id, boolean write, Freshness freshness, long limitMillis) {
+    return job(new Statement.Access(id, "READ a", write), freshness, limitMillis);
+  }
+
+  private SessionRunner.Job job(Statement statement, Freshness freshness) {
+    return job(statement, freshness, LIMIT_MILLIS);
+  }
+
+  private SessionRunner.Job job(Statement statement, Freshness freshness, long limitMillis) {
+    SessionRoute route =
+        new SessionRoute("route", "bonds", freshness, limitMillis, limitMillis, 1, false);
+    return new SessionRunner.Job(
+        new Operation(route, "acme"),
+        statement,
+        null,
+        Map.of(),
+        LogPosition.ZERO,
+        clock.millis() + limitMillis);
+  }
+
+  private void announce(String server, ServerRole role) {
+    registry.announce(
+        new Announcement(
+            "bonds", server, "address", "a", "r", role, LogPosition.ZERO, 0, 5, 30, false, 1, 1),
+        0,
+        clock.millis());
+  }
+
+  private static View view() {
+    Configuration configuration =
+        new Configuration(
+            Map.of(),
+            Map.of(),
+            Map.of(),
+            Map.of("bonds", new Database("bonds", 2, CONNECTION_LIMIT, 0)),
+            Map.of(),
+            30_000);
+    DeclaredDocument document = new DeclaredDocument(1, "{}");
+    return View.EMPTY
+        .apply(new ViewCommand.ReplaceConfiguration(document, configuration, List.of()))
+        .view()
+        .apply(new ViewCommand.BeginTerm("bonds", 1))
+        .view()
+        .apply(new ViewCommand.CompleteTerm("bonds", 1, "bonds-1", 0))
+        .view();
+  }
+
+  private static void pause(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private final class CountingLimiter implements RateLimiter {
+
+    @Override
+    public void acquire(String customer, long deadlineMillis) {}
+
+    @Override
+    public void giveBack(String customer) {
+      tokensGivenBack.incrementAndGet();
+    }
+  }
+}
