Do not take the end of a transaction for a sign that its server leads

A successful commit counted as a write, so the old primary's position was recorded as one that the present primary had stated, and bounded reads that needed only that position ran on the old primary. Ruled out: leases (all had been lost and waited for: view 17 began 0.3 s after the last one), late promotion (the platform's answer came before the reads). Change: only writes and the beginning of a writing transaction show that a server leads. Test red before: theEndOfAReadTransactionDoesNotShowThatItsServerLeads.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -94,6 +94,11 @@
       return write() || operation.route().freshness() instanceof Freshness.Latest;
     }
 
+    /** Tells whether only a server that leads answers it with success. */
+    boolean showsLeadership() {
+      return !(statement instanceof Statement.Commit) && write();
+    }
+
     boolean write() {
       return switch (statement) {
         case Statement.Access access -> access.write();
@@ -436,7 +441,7 @@
     boolean leads =
         target.asPrimary()
             && reply.failure() == null
-            && (job.write() || isCurrentPrimary(job, target));
+            && (job.showsLeadership() || isCurrentPrimary(job, target));
     if (!leads) {
       return;
     }
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
@@ -3,6 +3,8 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -110,6 +112,24 @@
     assertThat(servers.runs(), hasItem("bonds-2 read-1"));
   }
 
+  /** A replaced primary still ends transactions that wrote nothing. */
+  @Test
+  void theEndOfAReadTransactionDoesNotShowThatItsServerLeads() throws Exception {
+    Freshness bounded = new Freshness.BoundedAge(800);
+    views = new ViewHolder(clock.millis());
+    views.publish(view(), clock.millis() + 300, 1);
+    runner = runner();
+    SessionRunner.Begun begun =
+        runner.begin(job(new Statement.Begin("begin-1", "BEGIN READ", true), bounded));
+    pause(900);
+
+    runner.runWithin(begun, job(new Statement.Commit("commit-1", "COMMIT"), bounded));
+    begun.lease().close();
+
+    assertThrows(RefusalException.class, () -> runner.run(job("read-1", false, bounded, 300)));
+    assertThat(servers.runs(), not(hasItem("bonds-1 read-1")));
+  }
+
   @Test
   void theTokenOfAStatementThatReachedNoServerIsGivenBack() throws Exception {
     startHeld("write-1");
