--- a/cowslipdale-cli/src/main/java/org/cowslipdale/cli/CliMain.java
+++ b/cowslipdale-cli/src/main/java/org/cowslipdale/cli/CliMain.java
@@ -2,12 +2,15 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
+import org.cowslipdale.config.codec.Codecs;
 import org.cowslipdale.config.ini.IniException;
 import org.cowslipdale.core.result.ResultCode;
 
@@ -26,6 +29,7 @@
           cowslipdale key-add acme
           cowslipdale --wait 20 key-withdraw 3f2a90b1c7de
           cowslipdale --json history
+          cowslipdale explain 5fba634f65172a26 vm1.log vm2.log vm3.log
 
         Exit codes: 0 done, 1 refused, 2 wrong command line, 3 wrong file,
         4 no answer or outcome unknown, 5 not in force everywhere in time.
@@ -50,6 +54,7 @@
     Options.KeyWithdraw keyWithdraw = new Options.KeyWithdraw();
     Options.VmRemove vmRemove = new Options.VmRemove();
     Options.Watch watch = new Options.Watch();
+    Options.Explain explain = new Options.Explain();
     JCommander commander =
         JCommander.newBuilder()
             .programName("cowslipdale")
@@ -65,6 +70,7 @@
             .addCommand("drain", new Options.Drain())
             .addCommand("undrain", new Options.Undrain())
             .addCommand("watch", watch)
+            .addCommand("explain", explain)
             .build();
     try {
       commander.parse(args);
@@ -85,6 +91,10 @@
       return options.help ? ExitCode.OK : ExitCode.USAGE;
     }
     try {
+      if (command.equals("explain")) {
+        explain(explain, options, out);
+        return ExitCode.OK;
+      }
       Commands commands =
           new Commands(options, new AdminClient(servers(options), token(options)), out);
       switch (command) {
@@ -112,6 +122,31 @@
     }
   }
 
+  private static void explain(Options.Explain command, Options options, PrintStream out)
+      throws CliException {
+    if (command.idAndFiles.size() < 2) {
+      throw usage("explain needs the id of a request and at least one log file");
+    }
+    List<Path> files = command.idAndFiles.stream().skip(1).map(Path::of).toList();
+    Duration around = Duration.ofSeconds(command.aroundSeconds);
+    Explanation found = Explanation.read(command.idAndFiles.getFirst(), files, around);
+    if (options.json) {
+      found.timeline().forEach(line -> out.println(json(line)));
+      return;
+    }
+    for (DecisionLine line : found.timeline()) {
+      out.println((found.request().contains(line) ? "> " : "  ") + line);
+    }
+  }
+
+  private static String json(DecisionLine line) {
+    try {
+      return Codecs.json().writeValueAsString(line);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("lines can be written as JSON", e);
+    }
+  }
+
   private static List<String> servers(Options options) throws CliException {
     if (!options.servers.isEmpty()) {
       return options.servers;
--- a/cowslipdale-cli/src/main/java/org/cowslipdale/cli/Options.java
+++ b/cowslipdale-cli/src/main/java/org/cowslipdale/cli/Options.java
@@ -57,6 +57,21 @@
     boolean dryRun;
   }
 
+  /** Explains a request from log files; asks no VM. */
+  @Parameters(
+      commandDescription =
+          "Merge what the logs of several VMs tell of a request: explain ID vm1.log vm2.log")
+  static final class Explain {
+
+    @Parameter(description = "ID FILE...", required = true)
+    List<String> idAndFiles = new ArrayList<>();
+
+    @Parameter(
+        names = "--around",
+        description = "Seconds before and after the request from which other decisions are shown")
+    int aroundSeconds = 5;
+  }
+
   /** Shows the configuration. */
   @Parameters(commandDescription = "Show the configuration in force")
   static final class Show {}
