--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
@@ -114,7 +114,7 @@
     if (!usable) {
       return new SessionTarget.Wait(ResultCode.NO_PRIMARY);
     }
-    return new SessionTarget.RunOn(server.get(), state.term(), true, null, leaseNeeded);
+    return new SessionTarget.RunOn(server.get(), state.term(), true, null, leaseNeeded, now);
   }
 
   private Optional<SessionTarget> anyServer(
@@ -142,7 +142,12 @@
               boolean leased = server.name().equals(state.primary()) && lease.isValid(now);
               LogPosition after = leased ? null : required(demand, sample);
               return new SessionTarget.RunOn(
-                  server, state.term(), server.name().equals(state.primary()), after, leased);
+                  server,
+                  state.term(),
+                  server.name().equals(state.primary()),
+                  after,
+                  leased,
+                  leased ? now : sample.sentMillis());
             });
   }
 
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionTarget.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionTarget.java
@@ -16,13 +16,16 @@
    * @param asPrimary whether it was chosen as the primary of that term
    * @param after the position that the server's log must contain, or null
    * @param leaseNeeded whether the answer counts only if the lease is still valid when it arrives
+   * @param knownMillis the time on the VM's monotonic clock up to which the server's data is known
+   *     to be complete: that of {@code after}, or of the choice if there is none
    */
   record RunOn(
       BackendServer server,
       long term,
       boolean asPrimary,
       @Nullable LogPosition after,
-      boolean leaseNeeded)
+      boolean leaseNeeded,
+      long knownMillis)
       implements SessionTarget {}
 
   /**
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -370,6 +370,7 @@
         line(LogEvent.STATEMENT_DONE, job, target)
             .with("waited_ms", sentMillis - attempts.startedMillis)
             .with("server_ms", context.clock().millis() - sentMillis)
+            .with("known_ago_ms", sentMillis - target.knownMillis())
             .with("position", reply.position())
             .write();
       }
