--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/FakeServers.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/FakeServers.java
@@ -20,19 +20,32 @@
 
   private final Map<String, CountDownLatch> held = new ConcurrentHashMap<>();
   private final Queue<String> runs = new ConcurrentLinkedQueue<>();
+  private volatile long connectMillis;
 
   /** Holds the answer to a statement back until it is released. */
   CountDownLatch hold(String id) {
     return held.computeIfAbsent(id, key -> new CountDownLatch(1));
   }
 
+  /** Lets every connection from now on take some time to open. */
+  void delayConnections(long millis) {
+    connectMillis = millis;
+  }
+
   /** Returns what ran, each as the name of the server and the id of the statement. */
   List<String> runs() {
     return List.copyOf(runs);
   }
 
   @Override
-  public ServerConnection connect(ServerRef server, String customer, long timeoutMillis) {
+  public ServerConnection connect(ServerRef server, String customer, long timeoutMillis)
+      throws BackendException {
+    try {
+      Thread.sleep(connectMillis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new BackendException(false, e);
+    }
     return new Connection(server.server());
   }
 
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
@@ -116,9 +116,7 @@
   @Test
   void theEndOfAReadTransactionDoesNotShowThatItsServerLeads() throws Exception {
     Freshness bounded = new Freshness.BoundedAge(800);
-    views = new ViewHolder(clock.millis());
-    views.publish(view(), clock.millis() + 300, 1);
-    runner = runner();
+    leaseFor(300);
     SessionRunner.Begun begun =
         runner.begin(job(new Statement.Begin("begin-1", "BEGIN READ", true), bounded));
     pause(900);
@@ -130,6 +128,32 @@
     assertThat(servers.runs(), not(hasItem("bonds-1 read-1")));
   }
 
+  /** Incident inc1: the position asked for was recent when the read was routed, not when sent. */
+  @Test
+  void aReadIsNotSentWithAPositionThatAgedWhileItsConnectionOpened() throws Exception {
+    leaseFor(300);
+    runner.run(job("write-1", true, new Freshness.Latest()));
+    pause(450);
+    servers.delayConnections(450);
+
+    Freshness bounded = new Freshness.BoundedAge(800);
+    assertThrows(RefusalException.class, () -> runner.run(job("read-1", false, bounded, 600)));
+
+    assertThat(servers.runs(), is(List.of("bonds-1 write-1")));
+  }
+
+  /** Another primary may write as soon as the lease has ended. */
+  @Test
+  void aReadOfThePrimaryIsNotSentOnceTheLeaseHasEndedWhileItsConnectionOpened() {
+    leaseFor(600);
+    servers.delayConnections(700);
+
+    Freshness latest = new Freshness.Latest();
+    assertThrows(RefusalException.class, () -> runner.run(job("read-1", false, latest, 900)));
+
+    assertThat(servers.runs(), is(List.of()));
+  }
+
   @Test
   void theTokenOfAStatementThatReachedNoServerIsGivenBack() throws Exception {
     startHeld("write-1");
@@ -145,6 +169,12 @@
     assertThat(tokensGivenBack.get(), is(1));
   }
 
+  private void leaseFor(long millis) {
+    views = new ViewHolder(clock.millis());
+    views.publish(view(), clock.millis() + millis, 1);
+    runner = runner();
+  }
+
   private CountDownLatch startHeld(String id) {
     CountDownLatch latch = servers.hold(id);
     held.add(latch);
