Complete a change of primary only on an announcement made after the order

Cause: the term was completed when the service had accepted and the last announcement of the chosen server said primary. A server that led earlier, was cut off and is chosen again has such an announcement from its earlier term. It now has to be made after the first call.

Evidence: anAnnouncementFromBeforeThePromotionDoesNotShowThatTheServerLeads failed before (the term was completed at once).

Open: an announcement that was held up by a partition arrives with the time of its arrival, so one that was sent before the order and arrives after it still counts.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
@@ -381,7 +381,7 @@
    * Completes the term once the service has accepted the promotion and the server leads.
    *
    * <p>The acceptance is needed too: from then on the service refuses every older call that it may
-   * still carry out late.
+   * still carry out late. An announcement from before the first call may tell of an earlier term.
    */
   private void promotingByService(Situation situation, List<FailoverAction> actions) {
     String server = requireNonNull(chosen, "chosen");
@@ -389,8 +389,9 @@
         situation
             .group()
             .server(server)
-            .map(known -> known.announcement().role() == ServerRole.PRIMARY)
-            .orElse(false);
+            .filter(known -> known.announcement().role() == ServerRole.PRIMARY)
+            .filter(known -> known.announcedAtMillis() >= stepMillis)
+            .isPresent();
     if (accepted && leads) {
       refused.clear();
       enter(Step.COMPLETING, situation.now());
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/failover/ServicePromotionTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/failover/ServicePromotionTests.java
@@ -94,6 +94,23 @@
     assertThat(view.database("bonds").primary(), is("bonds-3"));
   }
 
+  /**
+   * A server that was primary, was cut off and is chosen again has told of its earlier term only.
+   */
+  @Test
+  void anAnnouncementFromBeforeThePromotionDoesNotShowThatTheServerLeads() {
+    announce("bonds-3", ServerRole.PRIMARY, false);
+    now += 100;
+    Promote promote = suspectAndChoose();
+    coordinator.promotionAnswered(promote, true, now);
+    assertThat(tick(), empty());
+
+    now += 1_000;
+    announce("bonds-3", ServerRole.PRIMARY, false);
+    propose(single(tick()));
+    assertThat(view.database("bonds").primary(), is("bonds-3"));
+  }
+
   @Test
   void aCallWithoutAnAnswerIsRepeatedWithTheSameFence() {
     Promote promote = suspectAndChoose();
