Wait for the primary of a new group to announce itself before another server is promoted

A healthy primary lost its lead, and with it the commits that the promoted replica had not received.

Cause: a group without a primary in the view was changed as soon as one server was known; when a replica announced itself before the primary did, the replica was promoted. The wait that a new leader already keeps for a known primary (3.5 s, two announcements and a repeated one) now holds here too; a primary that announces itself is adopted at once, as before.

Evidence: the new test failed before (BeginTerm at once).

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
@@ -176,7 +176,7 @@
     }
     String primary = state.primary();
     if (primary == null) {
-      return true;
+      return !mayStillAnnounceItsPrimary(situation);
     }
     boolean settled = situation.now() - completedMillis >= SETTLE_MILLIS;
     Optional<BackendServer> server = situation.group().server(primary);
@@ -184,15 +184,25 @@
         settled && server.isPresent() && server.get().announcement().role() != ServerRole.PRIMARY;
     boolean leaving = server.isPresent() && server.get().announcement().leaving();
     boolean vanished =
-        promotion instanceof Promotion.ByService
-            && server.isEmpty()
-            && situation.now() - watchedSinceMillis >= UNHEARD_MILLIS;
+        promotion instanceof Promotion.ByService && server.isEmpty() && isWatchedForLong(situation);
     return situation.suspect()
         || demoted
         || vanished
         || (leaving && hasSuccessor(situation, primary));
   }
 
+  /** A group of an outside service has a primary already, which replicas may precede. */
+  private boolean mayStillAnnounceItsPrimary(Situation situation) {
+    return promotion instanceof Promotion.ByService
+        && situation.state().starts().isEmpty()
+        && presentPrimary(situation).isEmpty()
+        && !isWatchedForLong(situation);
+  }
+
+  private boolean isWatchedForLong(Situation situation) {
+    return situation.now() - watchedSinceMillis >= UNHEARD_MILLIS;
+  }
+
   private boolean hasEnoughServers(Situation situation) {
     int known = situation.group().servers().size();
     return switch (promotion) {
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/failover/ServicePromotionTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/failover/ServicePromotionTests.java
@@ -75,6 +75,28 @@
     assertThat(next.tick(view, heard, LEASED, version -> true, now + 3_500), hasSize(1));
   }
 
+  /** Replicas may announce themselves first when a fleet starts for the first time. */
+  @Test
+  void aGroupThatNeverHadAPrimaryInTheViewWaitsForOneToAnnounceItself() {
+    FailoverCoordinator first = new FailoverCoordinator(new Promotion.ByService());
+    BackendRegistry heard = new BackendRegistry(60_000);
+    heard.announce(announcement("bonds-2", ServerRole.REPLICA, false), 0, now);
+    View declared = view();
+
+    assertThat(first.tick(declared, heard, LEASED, version -> true, now), empty());
+    assertThat(first.tick(declared, heard, LEASED, version -> true, now + 3_000), empty());
+    assertThat(first.tick(declared, heard, LEASED, version -> true, now + 3_500), hasSize(1));
+  }
+
+  @Test
+  void aGroupThatNeverHadAPrimaryInTheViewTakesTheOneThatAnnouncesItself() {
+    FailoverCoordinator first = new FailoverCoordinator(new Promotion.ByService());
+    BackendRegistry heard = new BackendRegistry(60_000);
+    heard.announce(announcement("bonds-1", ServerRole.PRIMARY, false), 0, now);
+
+    assertThat(first.tick(view(), heard, LEASED, version -> true, now), hasSize(1));
+  }
+
   @Test
   void theHighestReplicaIsPromotedWithTheFenceOfItsTerm() {
     Promote promote = suspectAndChoose();
