Let voters that start together stand one after the other

What was seen: after a start of all voters within 10 ms a leader was found in the third round of votes only, 0.84 s after the first (incident inc-42fa); service starts after that.

Cause: each voter drew its first wait between 50 and 300 ms, and a round takes up to two round trips between regions. Voters now wait by their place in the list of names, 80 ms apart, leave a candidate that may win its time once, and wait for the end of a round before they stand again.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusNode.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusNode.java
@@ -40,6 +40,9 @@
 
   private static final int MAX_ENTRIES_PER_MESSAGE = 200;
 
+  /** A candidate waits for its votes at least this long; a trial and an election are two steps. */
+  private static final long FIRST_ELECTION_ROUND_STEPS = 2;
+
   private final VoterId self;
   private final Set<String> members;
   private final RandomGenerator random;
@@ -52,6 +55,7 @@
   private long electionDeadlineMillis;
   private long heardFromLeaderMillis;
   private boolean heardFromLeader;
+  private boolean gaveWay;
   private long ledUntilMillis = Long.MIN_VALUE / 2;
   private long formerLeaseEndMillis;
   private long votersSilentMillis;
@@ -289,12 +293,14 @@
   }
 
   private void startTrial(long now) {
-    resetElectionDeadline(now);
     if (!log.voters().contains(self)) {
+      resetElectionDeadline(now);
       return;
     }
     role = Role.TRIAL_CANDIDATE;
+    resetElectionDeadline(now);
     leader = null;
+    gaveWay = false;
     voteForSelf(now);
     requestVotes(term + 1, true, false);
     countVotes(now);
@@ -358,6 +364,9 @@
             || (request.lastTerm() == log.lastTerm() && request.lastIndex() >= log.lastIndex());
     if (request.trial()) {
       boolean granted = request.term() > term && upToDate && !leaderLives;
+      if (granted) {
+        giveWay(now);
+      }
       reply(request, granted ? request.term() : term, granted, now);
       return;
     }
@@ -726,15 +735,33 @@
   }
 
   private void resetElectionDeadline(long now) {
-    long shortest =
-        heardFromLeader
-            ? ConsensusTimings.ELECTION_MIN_MILLIS
-            : ConsensusTimings.FIRST_ELECTION_MIN_MILLIS;
-    long longest =
-        heardFromLeader
-            ? ConsensusTimings.ELECTION_MAX_MILLIS
-            : ConsensusTimings.FIRST_ELECTION_MAX_MILLIS;
-    electionDeadlineMillis = now + shortest + random.nextLong(longest - shortest);
+    electionDeadlineMillis = now + electionWaitMillis();
+  }
+
+  private long electionWaitMillis() {
+    if (heardFromLeader) {
+      return ConsensusTimings.ELECTION_MIN_MILLIS
+          + random.nextLong(
+              ConsensusTimings.ELECTION_MAX_MILLIS - ConsensusTimings.ELECTION_MIN_MILLIS);
+    }
+    long steps = log.voters().names().stream().filter(n -> n.compareTo(self.name()) < 0).count();
+    if (role != Role.FOLLOWER) {
+      steps += FIRST_ELECTION_ROUND_STEPS;
+    }
+    return ConsensusTimings.FIRST_ELECTION_MIN_MILLIS
+        + steps * ConsensusTimings.FIRST_ELECTION_STEP_MILLIS
+        + random.nextLong(ConsensusTimings.FIRST_ELECTION_JITTER_MILLIS);
+  }
+
+  /**
+   * Leaves a candidate that may win the first election time to do so; once only, since it may be
+   * unable to hear the votes that it gets.
+   */
+  private void giveWay(long now) {
+    if (!heardFromLeader && !gaveWay) {
+      gaveWay = true;
+      resetElectionDeadline(now);
+    }
   }
 
   private Output drain() {
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusTimings.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusTimings.java
@@ -22,9 +22,13 @@
   public static final long FIRST_ELECTION_MIN_MILLIS = 50;
 
   /**
-   * The longest such wait: four round trips between regions lie between the waits of two members.
+   * How much longer each next voter, by name, waits then, so that voters that start together do not
+   * stand together: a round trip between regions and the time to handle it.
    */
-  public static final long FIRST_ELECTION_MAX_MILLIS = 300;
+  public static final long FIRST_ELECTION_STEP_MILLIS = 80;
+
+  /** The random part of such a wait; voters whose lists differ may have the same place in them. */
+  public static final long FIRST_ELECTION_JITTER_MILLIS = 20;
 
   /**
    * How long a leader may act after a quorum has answered, counted from the send time. Shorter than
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/consensus/ConsensusNodeTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/consensus/ConsensusNodeTests.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.IntStream;
 import org.cowslipdale.core.consensus.FakeVoters.Member;
 import org.cowslipdale.core.view.ApiKey;
 import org.cowslipdale.core.view.ViewCommand;
@@ -67,6 +68,35 @@
     assertThat(leader.node.formerLeaseEndMillis(), lessThan(before));
   }
 
+  /**
+   * Two voters that stand at the same moment split the votes and cost a round (incident inc-42fa).
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {3, 4, 5, 6})
+  void noVotesAreSplitWhenAllVotersStartWithinAMoment(int count) {
+    List<String> names = IntStream.rangeClosed(1, count).mapToObj(i -> "vm" + i).toList();
+    long lostRounds = 0;
+    long longestMillis = 0;
+    for (long seed = 0; seed < 1_000; seed++) {
+      FakeVoters voters = new FakeVoters(seed, names.toArray(String[]::new));
+      voters.awaitLeader(PATIENCE_MILLIS);
+      voters.run(500);
+      long termBefore = voters.awaitLeader(PATIENCE_MILLIS).node.term();
+      names.forEach(voters::crash);
+      voters.run(2_500);
+      long before = voters.now();
+      for (String name : names) {
+        voters.restart(name);
+        voters.run(10 / count);
+      }
+      Member leader = voters.awaitLeader(PATIENCE_MILLIS);
+      lostRounds += leader.node.term() - termBefore - 1;
+      longestMillis = Math.max(longestMillis, voters.now() - before);
+    }
+    assertThat("lost rounds", lostRounds, is(0L));
+    assertThat("slowest election", longestMillis, lessThan(ConsensusTimings.ELECTION_MIN_MILLIS));
+  }
+
   @Test
   void handsLeadershipOverWithoutWaitingForATimeout() {
     FakeVoters voters = new FakeVoters(3, "vm1", "vm2", "vm3");
