Show that a write may go to a primary that left while it waited (fails)

A primary that leaves gets work for 5.5 s, checked when a statement is routed; confirm, right before it is sent, does not check it again. A write waits for a place until 60 ms before its limit, so one with a limit over 1.5 s may reach a server more than 7 s after it said that it leaves (DRAIN). Routes of the present sites that need the primary have limits of 0.8 and 1 s.

--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterTests.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import org.cowslipdale.core.backend.Announcement;
 import org.cowslipdale.core.backend.BackendRegistry;
+import org.cowslipdale.core.backend.BackendServer;
 import org.cowslipdale.core.backend.ServerRole;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.routing.SessionTarget.RunOn;
@@ -194,6 +195,18 @@
     assertThat(later, is(not(instanceOf(RunOn.class))));
   }
 
+  /** A statement may wait for its place until the server may have gone. */
+  @Test
+  void aPrimaryThatHasLeftForTooLongIsNotConfirmed() {
+    registry.announce(
+        announcement("bonds-1", "domain-a", "north", ServerRole.PRIMARY, true, 2), 0, NOW - 2_000);
+    BackendServer chosen = ((RunOn) route(write(), LEASED)).server();
+
+    Optional<RunOn> target = router.confirm(chosen, write(), state, LEASED, history, NOW + 4_000);
+
+    assertThat(target.isPresent(), is(false));
+  }
+
   private SessionTarget route(SessionDemand demand, LeaseStatus lease) {
     return router.route(demand, registry.group("bonds"), state, lease, history, NOW);
   }
