Show that a read transaction is used though its position aged before it began (fails)

If BEGIN READ with a position takes longer to arrive, the transaction reads data older than its route permits (STALE), and nothing checks the answer: beginOn looks at it only where a lease is needed. No statement has read yet at that point, so the transaction could still be begun elsewhere.

--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/FakeServers.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/FakeServers.java
@@ -21,6 +21,7 @@
   private final Map<String, CountDownLatch> held = new ConcurrentHashMap<>();
   private final Queue<String> runs = new ConcurrentLinkedQueue<>();
   private volatile long connectMillis;
+  private volatile long transitMillis;
 
   /** Holds the answer to a statement back until it is released. */
   CountDownLatch hold(String id) {
@@ -32,6 +33,11 @@
     connectMillis = millis;
   }
 
+  /** Lets every statement from now on take some time to arrive. */
+  void delayStatements(long millis) {
+    transitMillis = millis;
+  }
+
   /** Returns what ran, each as the name of the server and the id of the statement. */
   List<String> runs() {
     return List.copyOf(runs);
@@ -40,13 +46,17 @@
   @Override
   public ServerConnection connect(ServerRef server, String customer, long timeoutMillis)
       throws BackendException {
+    pause(connectMillis);
+    return new Connection(server.server());
+  }
+
+  private static void pause(long millis) throws BackendException {
     try {
-      Thread.sleep(connectMillis);
+      Thread.sleep(millis);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       throw new BackendException(false, e);
     }
-    return new Connection(server.server());
   }
 
   private final class Connection implements ServerConnection {
@@ -61,6 +71,7 @@
     @Override
     public ServerReply execute(ServerCommand command, long timeoutMillis) throws BackendException {
       if (command instanceof ServerCommand.Run run) {
+        pause(transitMillis);
         runs.add(server + " " + run.statement().id());
         awaitRelease(run.statement().id(), timeoutMillis);
       }
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
@@ -142,6 +142,19 @@
     assertThat(servers.runs(), is(List.of("bonds-1 write-1")));
   }
 
+  /** The reads of a transaction are as recent as its beginning, which may arrive late. */
+  @Test
+  void aTransactionIsNotUsedIfItsPositionAgedBeforeItsBeginningWasAnswered() throws Exception {
+    leaseFor(300);
+    runner.run(job("write-1", true, new Freshness.Latest()));
+    pause(450);
+    servers.delayStatements(450);
+
+    Freshness bounded = new Freshness.BoundedAge(800);
+    Statement.Begin begin = new Statement.Begin("begin-1", "BEGIN READ", true);
+    assertThrows(RefusalException.class, () -> runner.begin(job(begin, bounded, 600)));
+  }
+
   /** Another primary may write as soon as the lease has ended. */
   @Test
   void aReadOfThePrimaryIsNotSentOnceTheLeaseHasEndedWhileItsConnectionOpened() {
