Show that a lease is given back by a request sent before it was granted (fails)

A VM that stops sends a request that gives its lease back. If the network holds it until the next process of the VM has a lease, the leader forgets that lease until the next renewal (500 ms) and begins a term without waiting for the VM, which may still read without a position on the former primary (STALE). The request tells when it was sent, on the clock of the VM, but LeaseTable.release does not look at it.

--- /dev/null
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
@@ -0,0 +1,90 @@
+package org.cowslipdale.daemon.control;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import org.cowslipdale.core.backend.BackendRegistry;
+import org.cowslipdale.core.failover.PrimaryEvidence;
+import org.cowslipdale.core.failover.Promotion;
+import org.cowslipdale.core.view.VmRecord;
+import org.cowslipdale.daemon.connection.BackendException;
+import org.cowslipdale.daemon.peer.PeerMessage.FleetQuery;
+import org.cowslipdale.daemon.peer.PeerMessage.LeaseRequest;
+import org.cowslipdale.daemon.storage.ControlStore;
+import org.cowslipdale.daemon.version.VmClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Tests the services of a control leader that is the only voter. */
+class VoterTests {
+
+  private static final String LEADER = "vm1";
+  private static final String OTHER = "vm2";
+
+  private final VmClock clock = new VmClock();
+  private final ControlThread control = new ControlThread();
+  @TempDir private Path folder;
+  private ControlStore store;
+  private Voter voter;
+
+  @BeforeEach
+  void lead() throws Exception {
+    Path data = folder.resolve("data");
+    ControlStore.initialize(data, Set.of(LEADER));
+    store = ControlStore.open(data);
+    BackendAccess access =
+        new BackendAccess.Adapted(
+            (server, timeoutMillis) -> {
+              throw new BackendException(false, new IllegalStateException("no servers"));
+            },
+            (database, server, holder, fence) -> {
+              throw new IllegalStateException("no promotions");
+            },
+            new PrimaryEvidence());
+    voter =
+        new Voter(
+            LEADER,
+            Set.of(LEADER),
+            store,
+            new BackendRegistry(),
+            new FailoverExecutor(LEADER, access, control),
+            new Promotion.ByService(),
+            clock,
+            (to, message) -> {},
+            () -> {});
+    for (int i = 0; i < 100 && !answers(); i++) {
+      Thread.sleep(10);
+      voter.tick();
+    }
+    voter.register(new VmRecord(OTHER, "a", "r", "address", 0, Long.MAX_VALUE, true, true));
+  }
+
+  @AfterEach
+  void close() {
+    store.close();
+    control.close();
+  }
+
+  /** The network may hold back what a stopped process said until its successor holds a lease. */
+  @Test
+  void aLeaseIsNotGivenBackByARequestThatWasSentBeforeIt() {
+    LeaseRequest release = new LeaseRequest(1, List.of(), List.of(), clock.millis(), true);
+    LeaseRequest renewal =
+        new LeaseRequest(1, List.of(), List.of(), release.sentMillis() + 1_000, false);
+
+    assertThat(voter.lease(OTHER, renewal).granted(), is(true));
+    voter.lease(OTHER, release);
+
+    assertThat(voter.fleet(new FleetQuery(2, 0, false)).waitingFor(), contains(OTHER));
+  }
+
+  private boolean answers() {
+    return voter.fleet(new FleetQuery(0, 0, false)).leader() != null;
+  }
+}
