Show that a write that was never sent is refused with an unknown outcome (fails)

If a connection breaks while values or prepared statements are sent ahead of a write, the failure says 'sent', and SessionRunner takes that for the write: the caller is told that the outcome is unknown and does not try again, although nothing ran.

aWriteWhoseConnectionBreaksBeforeItIsSentDidNotRun fails on (UNKNOWN in place of NOT_RUN).

--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/FakeServers.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/FakeServers.java
@@ -22,6 +22,7 @@
   private final Queue<String> runs = new ConcurrentLinkedQueue<>();
   private volatile long connectMillis;
   private volatile long transitMillis;
+  private volatile boolean breakPreparing;
 
   /** Holds the answer to a statement back until it is released. */
   CountDownLatch hold(String id) {
@@ -38,6 +39,11 @@
     transitMillis = millis;
   }
 
+  /** Lets every connection from now on break while a statement is prepared on it. */
+  void breakPreparing() {
+    breakPreparing = true;
+  }
+
   /** Returns what ran, each as the name of the server and the id of the statement. */
   List<String> runs() {
     return List.copyOf(runs);
@@ -70,6 +76,10 @@
 
     @Override
     public ServerReply execute(ServerCommand command, long timeoutMillis) throws BackendException {
+      if (command instanceof ServerCommand.Prepare && breakPreparing) {
+        usable = false;
+        throw new BackendException(true, new IOException("the connection broke"));
+      }
       if (command instanceof ServerCommand.Run run) {
         pause(transitMillis);
         runs.add(server + " " + run.statement().id());
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
@@ -16,12 +16,14 @@
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.backend.ServerRole;
 import org.cowslipdale.core.failover.PrimaryEvidence;
+import org.cowslipdale.core.result.Outcome;
 import org.cowslipdale.core.result.RefusalException;
 import org.cowslipdale.core.routing.ReplicaProgress;
 import org.cowslipdale.core.routing.SessionRouter;
 import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.statement.ServerReply;
 import org.cowslipdale.core.statement.Statement;
+import org.cowslipdale.core.statement.Statement.PreparedStatement;
 import org.cowslipdale.core.view.Configuration;
 import org.cowslipdale.core.view.Database;
 import org.cowslipdale.core.view.DeclaredDocument;
@@ -167,6 +169,27 @@
     assertThat(servers.runs(), is(List.of()));
   }
 
+  /** Only what prepares the write was sent, so it is known that the write did not run. */
+  @Test
+  void aWriteWhoseConnectionBreaksBeforeItIsSentDidNotRun() {
+    servers.breakPreparing();
+    PreparedStatement prepared = new PreparedStatement(true, "WRITE q2c");
+    Statement execute = new Statement.Execute("write-1", "EXECUTE s1 a x", "s1", "a x");
+    SessionRunner.Job plain = job(execute, new Freshness.Latest(), 300);
+    SessionRunner.Job job =
+        new SessionRunner.Job(
+            plain.operation(),
+            execute,
+            prepared,
+            plain.values(),
+            plain.seen(),
+            plain.deadlineMillis());
+
+    RefusalException refusal = assertThrows(RefusalException.class, () -> runner.run(job));
+
+    assertThat(refusal.code().outcome(), is(Outcome.NOT_RUN));
+  }
+
   @Test
   void theTokenOfAStatementThatReachedNoServerIsGivenBack() throws Exception {
     startHeld("write-1");
