Show that a primary is adopted while an unanswered call may still replace it (fails)

A group without a completed term adopts the server that says it is primary without a call of the service. If a promotion was asked for before that and not answered, the service may carry it out seconds later: no call with a newer fence has been made, so it is accepted. The view then names a primary that does not lead, and reads under a lease ask for no position (STALE), on until the server's change of role is noticed.

aPrimaryHeardOfAfterACallWithoutAnAnswerIsNotAdoptedWithoutACall fails on (the last call is for bonds-2, the primary adopted is bonds-1).

--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/failover/ServicePromotionTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/failover/ServicePromotionTests.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -155,6 +156,42 @@
     assertThat(promote.server(), is("bonds-2"));
   }
 
+  /** The service may carry out a call without an answer later, unless it has seen a newer fence. */
+  @Test
+  void aPrimaryHeardOfAfterACallWithoutAnAnswerIsNotAdoptedWithoutACall() {
+    FailoverCoordinator first = new FailoverCoordinator(new Promotion.ByService());
+    BackendRegistry heard = new BackendRegistry(60_000);
+    heard.announce(announcement("bonds-2", ServerRole.REPLICA, false), 0, now);
+    View current = view();
+    List<Promote> calls = new ArrayList<>();
+    long end = now + 20_000;
+    while (now < end && current.database("bonds").primary() == null) {
+      now += 25;
+      for (FailoverAction action : first.tick(current, heard, LEASED, version -> true, now)) {
+        switch (action) {
+          case Propose propose -> {
+            current = current.apply(propose.command()).view();
+            first.termChanged("bonds", current.version());
+          }
+          case QueryPosition query ->
+              first.position("bonds", query.term(), query.server(), new LogPosition(3, 10));
+          case Promote promote -> {
+            calls.add(promote);
+            heard.announce(announcement("bonds-1", ServerRole.PRIMARY, false), 0, now);
+            if (promote.server().equals("bonds-1")) {
+              first.promotionAnswered(promote, true, now);
+            }
+          }
+          default -> throw new AssertionError("unexpected: " + action);
+        }
+      }
+    }
+
+    assertThat(current.database("bonds").primary(), is("bonds-1"));
+    assertThat(calls.getFirst().server(), is("bonds-2"));
+    assertThat(calls.getLast().server(), is("bonds-1"));
+  }
+
   private Promote suspectAndChoose() {
     ProbeReport primary = new ProbeReport("bonds", 1);
     coordinator.report("vm1", List.of(primary), List.of());
