--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/consensus/ConsensusNodeTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/consensus/ConsensusNodeTests.java
@@ -11,7 +11,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
+import org.cowslipdale.core.consensus.ConsensusMessage.AppendReply;
+import org.cowslipdale.core.consensus.ConsensusMessage.AppendRequest;
+import org.cowslipdale.core.consensus.ConsensusMessage.SnapshotRequest;
 import org.cowslipdale.core.consensus.FakeVoters.Member;
+import org.cowslipdale.core.control.ControlState;
 import org.cowslipdale.core.view.ApiKey;
 import org.cowslipdale.core.view.ViewCommand;
 import org.junit.jupiter.api.Test;
@@ -153,6 +158,35 @@
     }
   }
 
+  /** The leader counts what a follower has answered for, also while a snapshot is on its way. */
+  @Test
+  void aSnapshotDoesNotDropEntriesAfterItThatTheFollowerHasAnsweredFor() {
+    List<String> names = List.of("vm1", "vm2", "vm3");
+    VoterSet voters = VoterSet.initial(names);
+    VoterId leader = new VoterId("vm1", VoterSet.INITIAL_IDENTITY);
+    ConsensusNode follower =
+        new ConsensusNode(
+            "vm2",
+            Set.copyOf(names),
+            new HardState(VoterSet.INITIAL_IDENTITY, 0, null),
+            Snapshot.initial(voters),
+            List.of(),
+            new Random(6),
+            0,
+            0);
+    List<LogEntry> entries = new ArrayList<>();
+    for (long index = 1; index <= 5; index++) {
+      entries.add(new LogEntry(index, 1, new LogEntry.Noop()));
+    }
+
+    Output answered = follower.receive(new AppendRequest(1, leader, 0, 0, entries, 0, 10), 10);
+    assertThat(((AppendReply) answered.sends().getFirst().message()).matchIndex(), is(5L));
+    Snapshot snapshot = new Snapshot(3, 1, voters, ControlState.EMPTY);
+    follower.receive(new SnapshotRequest(1, leader, snapshot, 20), 20);
+
+    assertThat(follower.lastIndex(), is(5L));
+  }
+
   private static void disturb(FakeVoters voters, List<String> names, Random random) {
     String name = names.get(random.nextInt(names.size()));
     switch (random.nextInt(8)) {
