--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
@@ -16,12 +16,14 @@
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.backend.ServerRole;
 import org.cowslipdale.core.failover.PrimaryEvidence;
+import org.cowslipdale.core.result.Outcome;
 import org.cowslipdale.core.result.RefusalException;
 import org.cowslipdale.core.routing.ReplicaProgress;
 import org.cowslipdale.core.routing.SessionRouter;
 import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.statement.ServerReply;
 import org.cowslipdale.core.statement.Statement;
+import org.cowslipdale.core.statement.Statement.PreparedStatement;
 import org.cowslipdale.core.view.Configuration;
 import org.cowslipdale.core.view.Database;
 import org.cowslipdale.core.view.DeclaredDocument;
@@ -142,6 +144,19 @@
     assertThat(servers.runs(), is(List.of("bonds-1 write-1")));
   }
 
+  /** The reads of a transaction are as recent as its beginning, which may arrive late. */
+  @Test
+  void aTransactionIsNotUsedIfItsPositionAgedBeforeItsBeginningWasAnswered() throws Exception {
+    leaseFor(300);
+    runner.run(job("write-1", true, new Freshness.Latest()));
+    pause(450);
+    servers.delayStatements(450);
+
+    Freshness bounded = new Freshness.BoundedAge(800);
+    Statement.Begin begin = new Statement.Begin("begin-1", "BEGIN READ", true);
+    assertThrows(RefusalException.class, () -> runner.begin(job(begin, bounded, 600)));
+  }
+
   /** Another primary may write as soon as the lease has ended. */
   @Test
   void aReadOfThePrimaryIsNotSentOnceTheLeaseHasEndedWhileItsConnectionOpened() {
@@ -154,6 +169,27 @@
     assertThat(servers.runs(), is(List.of()));
   }
 
+  /** Only what prepares the write was sent, so it is known that the write did not run. */
+  @Test
+  void aWriteWhoseConnectionBreaksBeforeItIsSentDidNotRun() {
+    servers.breakPreparing();
+    PreparedStatement prepared = new PreparedStatement(true, "WRITE q2c");
+    Statement execute = new Statement.Execute("write-1", "EXECUTE s1 a x", "s1", "a x");
+    SessionRunner.Job plain = job(execute, new Freshness.Latest(), 300);
+    SessionRunner.Job job =
+        new SessionRunner.Job(
+            plain.operation(),
+            execute,
+            prepared,
+            plain.values(),
+            plain.seen(),
+            plain.deadlineMillis());
+
+    RefusalException refusal = assertThrows(RefusalException.class, () -> runner.run(job));
+
+    assertThat(refusal.code().outcome(), is(Outcome.NOT_RUN));
+  }
+
   @Test
   void theTokenOfAStatementThatReachedNoServerIsGivenBack() throws Exception {
     startHeld("write-1");
