--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusNode.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusNode.java
@@ -481,15 +481,27 @@
     follow(request.term(), request.leader().name(), now);
     Snapshot snapshot = request.snapshot();
     if (snapshot.index() > commitIndex) {
-      log.reset(snapshot);
-      commitIndex = snapshot.index();
-      installed = snapshot;
-      appended.clear();
-      keepUpTo = snapshot.index();
+      install(snapshot);
     }
     answer(request.leader().name(), true, commitIndex, request.sentMillis());
   }
 
+  /** Keeps the entries that follow the snapshot in the same log; the leader may count on them. */
+  private void install(Snapshot snapshot) {
+    boolean follows =
+        log.knowsTerm(snapshot.index()) && log.term(snapshot.index()) == snapshot.term();
+    List<LogEntry> kept = follows ? log.range(snapshot.index() + 1, log.lastIndex()) : List.of();
+    log.reset(snapshot);
+    commitIndex = snapshot.index();
+    installed = snapshot;
+    keepUpTo = snapshot.index();
+    appended.clear();
+    for (LogEntry entry : kept) {
+      log.append(entry);
+      appended.add(entry);
+    }
+  }
+
   private void follow(long newTerm, String newLeader, long now) {
     becomeFollower(newTerm, newLeader, now);
     heardFromLeaderMillis = now;
