Ask the service for the primary that a group has if an older call may be outstanding

What callers could see: stale reads on a server that the view calls primary, after a call that the service carried out late.

Cause: a group without a completed term adopted a primary without a call. After a term whose call had no answer the service must see a newer fence first; then it refuses the late one. The first term of a group still adopts without a call.

Evidence: aPrimaryHeardOfAfterACallWithoutAnAnswerIsNotAdoptedWithoutACall failed before.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
@@ -32,6 +32,7 @@
  */
 final class GroupFailover {
 
+  private static final long FIRST_TERM = 1;
   private static final long STEP_TIMEOUT_MILLIS = 1_200;
   private static final long CATCH_UP_MILLIS = 800;
   private static final long SETTLE_MILLIS = 2_000;
@@ -235,10 +236,7 @@
     positions.clear();
     Optional<BackendServer> present = presentPrimary(situation);
     if (present.isPresent()) {
-      String primary = present.get().name();
-      enter(Step.COMPLETING, situation.now());
-      actions.add(
-          new FailoverAction.Propose(new ViewCommand.CompleteTerm(database, ownTerm, primary, 0)));
+      adopt(present.get().name(), situation, actions);
       return;
     }
     enter(Step.READING, situation.now());
@@ -249,6 +247,21 @@
     }
   }
 
+  /**
+   * Takes the server as the primary that the group has; only in the first term without a call.
+   *
+   * <p>The service may still carry out a call of an earlier term, unless it has seen a newer fence.
+   */
+  private void adopt(String primary, Situation situation, List<FailoverAction> actions) {
+    if (ownTerm > FIRST_TERM) {
+      promote(primary, situation, actions);
+      return;
+    }
+    enter(Step.COMPLETING, situation.now());
+    actions.add(
+        new FailoverAction.Propose(new ViewCommand.CompleteTerm(database, ownTerm, primary, 0)));
+  }
+
   /** Returns the primary that a group of an outside service had before this fleet knew it. */
   private Optional<BackendServer> presentPrimary(Situation situation) {
     boolean first =
@@ -317,15 +330,23 @@
       enter(Step.FENCING, situation.now());
       return;
     }
-    chosen = server.get().name();
-    accepted = false;
-    enter(Step.PROMOTING, situation.now());
     switch (promotion) {
-      case Promotion.ByServer ordered -> actions.add(order(server.get(), ownTerm, null));
-      case Promotion.ByService service -> askService(situation, actions);
+      case Promotion.ByServer ordered -> {
+        chosen = server.get().name();
+        enter(Step.PROMOTING, situation.now());
+        actions.add(order(server.get(), ownTerm, null));
+      }
+      case Promotion.ByService service -> promote(server.get().name(), situation, actions);
     }
   }
 
+  private void promote(String server, Situation situation, List<FailoverAction> actions) {
+    chosen = server;
+    accepted = false;
+    enter(Step.PROMOTING, situation.now());
+    askService(situation, actions);
+  }
+
   /** Returns the server that is furthest ahead; one that leaves only if there is no other. */
   private Optional<BackendServer> furthest(Situation situation) {
     List<BackendServer> candidates = candidates(situation);
