Ignore the return of a lease that was sent before the lease was granted

What callers could see: reads on a former primary (STALE) by a VM whose lease the leader had forgotten.

Cause: a stopping VM gives its lease back; the network may hold that request until the next process of the VM holds a lease. The leader now compares the send times of both, on the clock of the VM. Open: after a loss of power that clock starts anew, and a request from before may look newer.

Evidence: aLeaseIsNotGivenBackByARequestThatWasSentBeforeIt failed before.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/control/LeaseTable.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/control/LeaseTable.java
@@ -19,6 +19,7 @@
 
   private final long electedMillis;
   private final Map<String, Entry> entries = new HashMap<>();
+  private final Map<String, Long> grantedSentMillis = new HashMap<>();
 
   private record Entry(long confirmedVersion, long leaseBoundMillis) {}
 
@@ -42,6 +43,27 @@
     entries.put(vm, new Entry(confirmedVersion, now + LeaseTimings.LEASE_BOUND_MILLIS));
   }
 
+  /**
+   * Records which request of a VM was granted.
+   *
+   * @param vm the name of the VM
+   * @param sentMillis when the VM sent it, on the VM's monotonic clock
+   */
+  public void grantedTo(String vm, long sentMillis) {
+    grantedSentMillis.put(vm, sentMillis);
+  }
+
+  /**
+   * Tells whether a request of a VM is older than the one that was granted last, because the
+   * network held it back.
+   *
+   * @param vm the name of the VM
+   * @param sentMillis when the VM sent it, on the VM's monotonic clock
+   */
+  public boolean isOutdated(String vm, long sentMillis) {
+    return sentMillis < grantedSentMillis.getOrDefault(vm, Long.MIN_VALUE);
+  }
+
   /**
    * Records that a VM gave its lease back and serves nothing any more.
    *
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -156,12 +156,15 @@
     VmRecord record = view.vms().get(from);
     boolean registered = record != null && record.active();
     if (request.release()) {
-      current.leases().release(from, now);
+      if (!current.leases().isOutdated(from, request.sentMillis())) {
+        current.leases().release(from, now);
+      }
       return refusal(request);
     }
     current.failover().report(from, request.reports(), request.reached());
     if (registered) {
       current.leases().grant(from, request.version(), now);
+      current.leases().grantedTo(from, request.sentMillis());
     }
     Optional<List<ViewCommand>> commands = viewLog.after(request.version());
     return new LeaseReply(
