State the permitted age of a read over HTTP when it is sent, not when it is routed

What callers could see: data older than their class permits, by as long as the request waited for a place or a connection after the lease had ended.

The server of the test answered data of 300 ms to calls that permit less, which no server does; it declines them now, and the test still fails without the change (nothing was thrown, too old data was permitted).

Evidence: aReadIsNotSentWithAnAgeThatWasRightBeforeItsConnectionOpened failed before.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/DefaultRouter.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/DefaultRouter.java
@@ -87,7 +87,7 @@
 
   private RouteDecision read(
       RouteRequest request, BackendGroup group, DatabaseState state, LeaseStatus lease, long now) {
-    long allowedAge = allowedAgeMillis(request.workClass().freshness(), lease, now);
+    long allowedAge = lease.permittedAgeMillis(request.workClass().freshness(), now);
     if (allowedAge < 0) {
       return new RouteDecision.Wait(ResultCode.NO_FRESH_SERVER);
     }
@@ -102,21 +102,6 @@
         chosen, state.completedTerm(), new Conditions(false, offset, wait, allowedAge));
   }
 
-  /**
-   * Returns the greatest age that a server may state for its data.
-   *
-   * <p>Once the lease has ended, another primary may write where this VM cannot see it. Whatever a
-   * server holds is then known to be current only as of the end of the lease at the latest.
-   */
-  private static long allowedAgeMillis(Freshness freshness, LeaseStatus lease, long now) {
-    return switch (freshness) {
-      case Freshness.BoundedAge bounded -> bounded.maxAgeMillis() - lease.expiredForMillis(now);
-      case Freshness.Latest latest -> 0;
-      case Freshness.Session session -> ANY_AGE;
-      case Freshness.AnyAge any -> ANY_AGE;
-    };
-  }
-
   private List<BackendServer> candidates(
       RouteRequest request, BackendGroup group, DatabaseState state, long allowedAge, long now) {
     List<BackendServer> candidates = new ArrayList<>();
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/StatementRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/StatementRunner.java
@@ -179,6 +179,10 @@
     try (Tracing.Hop hop = tracing.start("backend", attempts.caller.traceparent());
         PooledConnection pooled = attempts.acquire(target)) {
       hop.set("server", target.server().name());
+      if (permittedAgeMillis(target, work) < 0) {
+        pooled.markClean();
+        return Optional.empty();
+      }
       BackendAnswer answer =
           pooled
               .connection()
@@ -200,6 +204,11 @@
     PooledConnection pooled = null;
     try {
       pooled = attempts.acquire(target);
+      if (permittedAgeMillis(target, work) < 0) {
+        pooled.markClean();
+        pooled.close();
+        return Optional.empty();
+      }
       BackendAnswer answer =
           pooled
               .connection()
@@ -283,7 +292,17 @@
     return result == null ? NullNode.instance : result;
   }
 
-  private static BackendCall call(RunOn target, Work work) {
+  /** The lease may have ended, or ended longer ago, since the request was routed. */
+  private long permittedAgeMillis(RunOn target, Work work) {
+    long routed = target.conditions().maxAgeMillis();
+    return target.conditions().asPrimary()
+        ? routed
+        : Math.min(
+            routed,
+            views.get().lease().permittedAgeMillis(work.workClass().freshness(), clock.millis()));
+  }
+
+  private BackendCall call(RunOn target, Work work) {
     Conditions conditions = target.conditions();
     return new BackendCall(
         UUID.randomUUID().toString(),
@@ -291,7 +310,7 @@
         conditions.asPrimary(),
         conditions.minOffset(),
         conditions.waitMillis(),
-        conditions.maxAgeMillis(),
+        permittedAgeMillis(target, work),
         !work.workClass().readOnly(),
         work.body().statement(),
         work.body().parameters());
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/request/StatementRunnerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/request/StatementRunnerTests.java
@@ -53,6 +53,9 @@
   /** A call takes this long at most from its last check to the server in this process. */
   private static final long CALL_MILLIS = 100;
 
+  /** How old the data of the server is. */
+  private static final long DATA_AGE_MILLIS = 300;
+
   private final VmClock clock = new VmClock();
   private final ViewHolder views = new ViewHolder(clock.millis());
   private final BackendRegistry registry = new BackendRegistry(60_000);
@@ -179,7 +182,8 @@
         if (call.maxAgeMillis() > permitted + CALL_MILLIS) {
           tooOld.add(call.maxAgeMillis() - permitted);
         }
-        return new BackendAnswer(call.call(), 1, 7, 300, null, null, null);
+        String declined = call.maxAgeMillis() < DATA_AGE_MILLIS ? BackendAnswer.TOO_OLD : null;
+        return new BackendAnswer(call.call(), 1, 7, DATA_AGE_MILLIS, null, declined, null);
       }
 
       @Override
