Check again right before a statement is sent that its server has not left

What callers could see: a write cut off at a primary that had left (DRAIN), if it waited for a place for longer than 1.5 s; routes of the present sites wait for 1 s at most.

Evidence: aPrimaryThatHasLeftForTooLongIsNotConfirmed failed before.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
@@ -110,6 +110,9 @@
       PositionHistory history,
       long now) {
     boolean leads = server.name().equals(state.primary());
+    if (server.leavingForMillis(now) >= LEAVING_PRIMARY_MILLIS) {
+      return Optional.empty();
+    }
     if (demand.write()) {
       return leads
           ? Optional.of(new SessionTarget.RunOn(server, state.term(), true, null, false, now))
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -308,7 +308,7 @@
       return context
           .router()
           .confirm(
-              server,
+              context.registry().group(database).server(server.name()).orElse(server),
               demand(),
               current.view().database(database),
               current.lease(),
