Begin a read transaction elsewhere if its position may have aged on the way

What callers could see: a transaction whose data is older than its route permits (STALE), if its beginning needed more than the margin of 250 ms to arrive. No statement has read yet when the beginning is answered, so it is begun again on a server that is recent enough.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -441,7 +441,8 @@
       lease.close();
       return failed(attempts, target, reply.failure());
     }
-    if (target.leaseNeeded() && !isCurrentPrimary(job, target)) {
+    boolean holds = target.leaseNeeded() ? isCurrentPrimary(job, target) : isRecent(job, target);
+    if (!holds) {
       lease.close();
       attempts.lastReason = ResultCode.NO_LEASE;
       return Optional.empty();
@@ -449,6 +450,13 @@
     return Optional.of(new Begun(lease, target));
   }
 
+  /** The reads of a transaction are as recent as its beginning, which may have arrived late. */
+  private boolean isRecent(Job job, RunOn target) {
+    return target.after() == null
+        || !(job.operation().route().freshness() instanceof Freshness.BoundedAge bounded)
+        || context.clock().millis() <= target.knownMillis() + bounded.maxAgeMillis();
+  }
+
   private ServerReply execute(Job job, PooledSession session, @Nullable LogPosition after)
       throws BackendException {
     long timeout = Math.max(1, job.deadlineMillis() - context.clock().millis());
