Refuse a write as not run if its connection broke while it was prepared

What callers saw: UNKNOWN for a write that was never sent, so they could not repeat it. What precedes a statement on a connection was taken for the statement.

Evidence: aWriteWhoseConnectionBreaksBeforeItIsSentDidNotRun failed before (UNKNOWN in place of NOT_RUN).

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -258,8 +258,10 @@
         lease.close();
         throw new RefusalException(ResultCode.WAIT_LIMIT_REACHED);
       }
+      boolean prepared = false;
       try {
         prepare(lease.session());
+        prepared = true;
         Optional<RunOn> confirmed = confirm(target.server());
         if (confirmed.isEmpty()) {
           lease.markClean();
@@ -271,7 +273,7 @@
         return attempt(confirmed.get(), lease);
       } catch (BackendException e) {
         lease.close();
-        broken(target, e, context.clock().millis() - sentMillis);
+        broken(target, e, prepared && e.isSent(), context.clock().millis() - sentMillis);
         return Optional.empty();
       } catch (RefusalException e) {
         lease.close();
@@ -340,11 +342,11 @@
       }
     }
 
-    private void broken(RunOn target, BackendException e, long awaitedMillis)
+    private void broken(RunOn target, BackendException e, boolean statementSent, long awaitedMillis)
         throws RefusalException {
       String server = target.server().name();
       line(LogEvent.SERVER_CONNECTION_BROKEN, job, target)
-          .with("sent", e.isSent())
+          .with("sent", statementSent)
           .with("reason", e.getCause())
           .with("awaited_ms", awaitedMillis)
           .write();
@@ -358,13 +360,13 @@
       }
       lastReason = e.code();
       boolean mayHaveRun =
-          e.isSent() && job.write() && !(job.statement() instanceof Statement.Begin);
+          statementSent && job.write() && !(job.statement() instanceof Statement.Begin);
       if (mayHaveRun) {
         throw new RefusalException(ResultCode.OUTCOME_UNKNOWN);
       }
       if (context.clock().millis() >= job.deadlineMillis() - ANSWER_MARGIN_MILLIS) {
         throw new RefusalException(
-            e.isSent() ? ResultCode.STATEMENT_TIMED_OUT : ResultCode.WAIT_LIMIT_REACHED);
+            statementSent ? ResultCode.STATEMENT_TIMED_OUT : ResultCode.WAIT_LIMIT_REACHED);
       }
     }
 
