Spread the positions of primaries over the fleet through the control leader

Callers of the grown sites saw refusals and late answers, because servers rejected more than half of what reached them. A read of a stated age runs on a replica only if its VM knows a position that the primary stated recently enough. A VM learnt positions from its own traffic alone, about one operation a second and database at 64 to 87 VMs, so most of its reads went to the primary.

Each VM now states its newest positions with its renewals, and the leader returns the newest of each database. The time up to which a position is known to be complete only ever moves back on its way between two clocks.

--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/PositionNews.java
@@ -0,0 +1,21 @@
+package org.cowslipdale.core.routing;
+
+import java.util.List;
+
+/**
+ * The newest positions of primaries that the control leader knows.
+ *
+ * @param leaderTerm the term of the control log in which the sender leads
+ * @param leaderMillis the time on the leader's clock
+ * @param positions the newest position of each database
+ */
+public record PositionNews(long leaderTerm, long leaderMillis, List<AgedPosition> positions) {
+
+  /** What a VM sends that does not lead. */
+  public static final PositionNews NONE = new PositionNews(0, 0, List.of());
+
+  /** Copies the positions. */
+  public PositionNews {
+    positions = List.copyOf(positions);
+  }
+}
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlPlane.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlPlane.java
@@ -22,6 +22,7 @@
 import org.cowslipdale.core.failover.Promotion;
 import org.cowslipdale.core.result.CowslipException;
 import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.routing.FleetPositions;
 import org.cowslipdale.core.view.ApiKey;
 import org.cowslipdale.core.view.Configuration;
 import org.cowslipdale.core.view.DeclaredDocument;
@@ -81,6 +82,7 @@
   private final ClaimTable claims;
   private final FleetRateLimiter limiter;
   private final FleetClaims fleetClaims;
+  private final FleetPositions positions = new FleetPositions();
   private final TransactionForwarder forwarder;
   private final @Nullable Voter voter;
   private volatile Function<TransactionStep, Reply> steps =
@@ -129,12 +131,13 @@
     switch (access) {
       case BackendAccess.Direct direct -> {
         PrimaryProbe probe = new PrimaryProbe();
-        this.viewClient = new ViewClient(self, link, views, probe, control, clock);
+        this.viewClient = new ViewClient(self, link, views, probe, positions, control, clock);
         this.prober =
             new Prober(vm, views, registry, direct.connector(), probe, control, viewClient::renew);
       }
       case BackendAccess.Adapted adapted -> {
-        this.viewClient = new ViewClient(self, link, views, adapted.evidence(), control, clock);
+        this.viewClient =
+            new ViewClient(self, link, views, adapted.evidence(), positions, control, clock);
         this.prober = null;
       }
     }
@@ -178,6 +181,11 @@
     return limiter;
   }
 
+  /** Returns the positions that primaries stated to this VM and others. */
+  public FleetPositions positions() {
+    return positions;
+  }
+
   /** Returns the claims on request ids. */
   public RequestClaims claims() {
     return fleetClaims;
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Leadership.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Leadership.java
@@ -8,6 +8,7 @@
 import org.cowslipdale.core.failover.Promotion;
 import org.cowslipdale.core.quota.TokenOwner;
 import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.routing.PositionBoard;
 import org.cowslipdale.daemon.peer.PeerMessage.ChangeReply;
 
 /** What lives as long as this VM leads the control log; confined to the control thread. */
@@ -19,6 +20,7 @@
   private final LeaseTable leases;
   private final FailoverCoordinator failover;
   private final TokenOwner tokens;
+  private final PositionBoard positions;
   private final Map<Long, CompletableFuture<ChangeReply>> proposals = new HashMap<>();
   private boolean announced;
   private final Map<String, Long> refusalsLoggedMillis = new HashMap<>();
@@ -28,6 +30,7 @@
     this.failover = new FailoverCoordinator(promotion);
     this.leases = new LeaseTable(electedMillis);
     this.tokens = new TokenOwner(formerLeaseEndMillis);
+    this.positions = new PositionBoard(term);
   }
 
   long term() {
@@ -46,6 +49,10 @@
     return tokens;
   }
 
+  PositionBoard positions() {
+    return positions;
+  }
+
   /** Tells once that the leader lease is held, so that this VM may answer. */
   boolean isFirstLease() {
     boolean first = !announced;
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ViewClient.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ViewClient.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.cowslipdale.core.control.LeaseTimings;
 import org.cowslipdale.core.failover.PrimaryReports;
+import org.cowslipdale.core.routing.FleetPositions;
 import org.cowslipdale.core.view.View;
 import org.cowslipdale.core.view.ViewCommand;
 import org.cowslipdale.core.view.VmRecord;
@@ -31,6 +32,7 @@
   private final ControlLink link;
   private final ViewHolder holder;
   private final PrimaryReports probe;
+  private final FleetPositions positions;
   private final ControlThread control;
   private final VmClock clock;
   private boolean asking;
@@ -44,12 +46,14 @@
       ControlLink link,
       ViewHolder holder,
       PrimaryReports probe,
+      FleetPositions positions,
       ControlThread control,
       VmClock clock) {
     this.self = requireNonNull(self, "self");
     this.link = requireNonNull(link, "link");
     this.holder = requireNonNull(holder, "holder");
     this.probe = requireNonNull(probe, "probe");
+    this.positions = requireNonNull(positions, "positions");
     this.control = requireNonNull(control, "control");
     this.clock = requireNonNull(clock, "clock");
   }
@@ -83,7 +87,8 @@
   void release() {
     stopping = true;
     LeaseRequest request =
-        new LeaseRequest(holder.get().view().version(), List.of(), List.of(), clock.millis(), true);
+        new LeaseRequest(
+            holder.get().view().version(), List.of(), List.of(), clock.millis(), true, null);
     link.send(link.leader(), request);
   }
 
@@ -95,7 +100,12 @@
     String leader = link.leader();
     LeaseRequest request =
         new LeaseRequest(
-            holder.get().view().version(), probe.failing(now), probe.reached(now), now, false);
+            holder.get().view().version(),
+            probe.failing(now),
+            probe.reached(now),
+            now,
+            false,
+            positions.report(now));
     link.ask(leader, request, ANSWER_TIMEOUT_MILLIS)
         .whenComplete(
             (reply, failure) ->
@@ -124,6 +134,9 @@
       wrongLeader(leader, reply.leader());
       return;
     }
+    if (reply.positions() != null) {
+      positions.received(reply.positions(), reply.sentMillis(), clock.millis());
+    }
     View view = updated(reply);
     boolean complete = view.version() >= targetVersion(reply);
     long leaseEnd =
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -160,6 +160,9 @@
       return refusal(request);
     }
     current.failover().report(from, request.reports(), request.reached());
+    if (request.positions() != null) {
+      current.positions().reported(request.positions());
+    }
     if (registered) {
       current.leases().grant(from, request.version(), now);
     }
@@ -173,7 +176,8 @@
         commands.isPresent() ? null : view,
         request.sentMillis(),
         voterNames(),
-        callerVms(current, view, now));
+        callerVms(current, view, now),
+        record != null && record.servesCallers() ? current.positions().news(now) : null);
   }
 
   /** Counts the VMs that serve callers and may have connections to servers. */
@@ -284,7 +288,8 @@
         null,
         request.sentMillis(),
         voterNames(),
-        0);
+        0,
+        null);
   }
 
   private List<String> voterNames() {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerMessage.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerMessage.java
@@ -7,6 +7,8 @@
 import org.cowslipdale.core.control.ChangeRecord;
 import org.cowslipdale.core.failover.ProbeReport;
 import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.routing.PositionNews;
+import org.cowslipdale.core.routing.PositionReport;
 import org.cowslipdale.core.view.DeclaredDocument;
 import org.cowslipdale.core.view.View;
 import org.cowslipdale.core.view.ViewCommand;
@@ -39,13 +41,15 @@
    * @param reached the primaries that answered the VM a moment ago
    * @param sentMillis when it was sent, on the VM's monotonic clock
    * @param release whether the VM gives its lease back because it stops
+   * @param positions the positions that primaries stated to the VM
    */
   record LeaseRequest(
       long version,
       List<ProbeReport> reports,
       List<ProbeReport> reached,
       long sentMillis,
-      boolean release)
+      boolean release,
+      @Nullable PositionReport positions)
       implements PeerMessage {}
 
   /**
@@ -60,6 +64,7 @@
    * @param sentMillis the send time of the request, repeated
    * @param voters the names of the VMs that keep the control log
    * @param callerVms how many VMs share the connections of servers
+   * @param positions the newest positions of primaries that the leader knows
    */
   record LeaseReply(
       boolean granted,
@@ -70,7 +75,8 @@
       @Nullable View view,
       long sentMillis,
       List<String> voters,
-      int callerVms)
+      int callerVms,
+      @Nullable PositionNews positions)
       implements PeerMessage {}
 
   /**
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionPath.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionPath.java
@@ -94,6 +94,7 @@
                 settings.vm().failureDomain(), settings.vm().region(), pools, progress),
             pools,
             progress,
+            control.positions(),
             evidence,
             control.limiter(),
             clock);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionContext.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionContext.java
@@ -5,6 +5,7 @@
 import org.cowslipdale.core.backend.BackendRegistry;
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.failover.PrimaryEvidence;
+import org.cowslipdale.core.routing.FleetPositions;
 import org.cowslipdale.core.routing.ReplicaProgress;
 import org.cowslipdale.core.routing.SessionRouter;
 import org.cowslipdale.daemon.request.RateLimiter;
@@ -20,6 +21,7 @@
  * @param router chooses servers
  * @param pools connections to servers
  * @param progress how far lagging replicas are
+ * @param positions the positions that primaries stated
  * @param evidence what is known of primaries
  * @param limiter keeps customers within their rates
  * @param clock the clocks of the VM
@@ -31,6 +33,7 @@
     SessionRouter router,
     SessionPools pools,
     ReplicaProgress progress,
+    FleetPositions positions,
     PrimaryEvidence evidence,
     RateLimiter limiter,
     VmClock clock) {
@@ -43,6 +46,7 @@
     requireNonNull(router, "router");
     requireNonNull(pools, "pools");
     requireNonNull(progress, "progress");
+    requireNonNull(positions, "positions");
     requireNonNull(evidence, "evidence");
     requireNonNull(limiter, "limiter");
     requireNonNull(clock, "clock");
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -65,7 +65,6 @@
 
   private final SessionContext context;
   private final PrimaryChecker checker;
-  private final PositionSamples samples = new PositionSamples();
 
   SessionRunner(SessionContext context, PrimaryChecker checker) {
     this.context = requireNonNull(context, "context");
@@ -298,7 +297,7 @@
               context.registry().group(database),
               current.view().database(database),
               current.lease(),
-              samples.of(database),
+              context.positions().of(database),
               context.clock().millis());
     }
 
@@ -312,7 +311,7 @@
               demand(),
               current.view().database(database),
               current.lease(),
-              samples.of(database),
+              context.positions().of(database),
               context.clock().millis());
     }
 
@@ -482,7 +481,7 @@
     }
     context.evidence().answered(database, target.term(), context.clock().millis());
     if (position != null) {
-      samples.of(database).add(new PositionSample(target.term(), position, sentMillis));
+      context.positions().stated(database, new PositionSample(target.term(), position, sentMillis));
     }
   }
 
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
@@ -17,6 +17,7 @@
 import org.cowslipdale.core.backend.ServerRole;
 import org.cowslipdale.core.failover.PrimaryEvidence;
 import org.cowslipdale.core.result.RefusalException;
+import org.cowslipdale.core.routing.FleetPositions;
 import org.cowslipdale.core.routing.ReplicaProgress;
 import org.cowslipdale.core.routing.SessionRouter;
 import org.cowslipdale.core.session.LogPosition;
@@ -75,6 +76,7 @@
             new SessionRouter("a", "r", pools, progress),
             pools,
             progress,
+            new FleetPositions(),
             evidence,
             new CountingLimiter(),
             clock);
