Leave a busy server alone for as long as it stays busy, and send reads elsewhere

A server with full slots and a full queue answers BUSY. Every statement that met this came again after 4 to 40 ms, from every VM, so most arrivals at servers of the grown sites were rejected ones, and reads kept asking the primary of their region while replicas elsewhere idled.

What one statement learns now holds for all of its VM: the pause doubles while the server stays busy, up to twice what a full queue needs, and shrinks as it serves. Reads go to another server at once and prefer servers that were not busy for two seconds; writes wait for the end of the pause. Between replicas that are equal otherwise each VM has its own, where all took the first by name.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/placement/Placement.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/placement/Placement.java
@@ -56,7 +56,13 @@
     return names;
   }
 
-  private static long score(String key, String vm) {
+  /**
+   * Returns the score of a candidate; the highest wins.
+   *
+   * @param key the key
+   * @param vm the name of the candidate
+   */
+  public static long score(String key, String vm) {
     return MurmurHash3.hash128x64((vm + '\n' + key).getBytes(UTF_8))[0];
   }
 }
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import org.cowslipdale.core.backend.BackendGroup;
 import org.cowslipdale.core.backend.BackendServer;
+import org.cowslipdale.core.backend.ServerBackoff;
+import org.cowslipdale.core.placement.Placement;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.view.DatabaseState;
@@ -38,25 +40,36 @@
   /** Requests that a nearer server may have more than another before it is passed over. */
   private static final int LOAD_STEP = 2;
 
+  private final String vm;
   private final String failureDomain;
   private final String region;
   private final ServerLoad load;
   private final ReplicaProgress progress;
+  private final ServerBackoff backoff;
 
   /**
    * Creates a router.
    *
+   * @param vm the name of this VM
    * @param failureDomain the failure domain of this VM
    * @param region the region of this VM
    * @param load the load and health of servers as seen by this VM
    * @param progress how far lagging replicas are
+   * @param backoff the servers that were busy
    */
   public SessionRouter(
-      String failureDomain, String region, ServerLoad load, ReplicaProgress progress) {
+      String vm,
+      String failureDomain,
+      String region,
+      ServerLoad load,
+      ReplicaProgress progress,
+      ServerBackoff backoff) {
+    this.vm = requireNonNull(vm, "vm");
     this.failureDomain = requireNonNull(failureDomain, "failureDomain");
     this.region = requireNonNull(region, "region");
     this.load = requireNonNull(load, "load");
     this.progress = requireNonNull(progress, "progress");
+    this.backoff = requireNonNull(backoff, "backoff");
   }
 
   /**
@@ -146,7 +159,7 @@
     };
   }
 
-  private static SessionTarget primary(
+  private SessionTarget primary(
       BackendGroup group,
       DatabaseState state,
       SessionDemand demand,
@@ -161,6 +174,10 @@
     if (!usable) {
       return new SessionTarget.Wait(ResultCode.NO_PRIMARY);
     }
+    long busyUntil = backoff.untilMillis(server.get().name());
+    if (now < busyUntil) {
+      return new SessionTarget.Wait(ResultCode.OVERLOADED, busyUntil);
+    }
     return new SessionTarget.RunOn(server.get(), state.term(), true, null, leaseNeeded, now);
   }
 
@@ -177,6 +194,7 @@
       boolean suits =
           !server.announcement().leaving()
               && !demand.tried().contains(server.name())
+              && now >= backoff.untilMillis(server.name())
               && !progress.isBehind(server.name(), required(demand, sample), now)
               && !load.isEjected(server.name(), group.servers().keySet(), now);
       if (suits) {
@@ -184,7 +202,7 @@
       }
     }
     return candidates.stream()
-        .min(preference(state))
+        .min(preference(state, now))
         .flatMap(server -> confirm(server, demand, state, lease, history, now));
   }
 
@@ -193,12 +211,17 @@
     return demand.seen().max(sample.position());
   }
 
-  /** Stays in the region, spares the primary, and prefers the failure domain at equal load. */
-  private Comparator<BackendServer> preference(DatabaseState state) {
-    return Comparator.comparing((BackendServer server) -> !isInRegion(server))
+  /**
+   * Avoids servers that were busy, stays in the region, spares the primary, and prefers the failure
+   * domain at equal load. Between equals every VM has a server of its own, so that its connections
+   * stay in use while the VMs together use all servers.
+   */
+  private Comparator<BackendServer> preference(DatabaseState state, long now) {
+    return Comparator.comparing((BackendServer server) -> backoff.isStrained(server.name(), now))
+        .thenComparing(server -> !isInRegion(server))
         .thenComparingInt(server -> load(server, state))
         .thenComparing(server -> !server.announcement().failureDomain().equals(failureDomain))
-        .thenComparing(BackendServer::name);
+        .thenComparingLong(server -> Placement.score(vm, server.name()));
   }
 
   private boolean isInRegion(BackendServer server) {
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionTarget.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionTarget.java
@@ -32,6 +32,18 @@
    * No server suits now, but one may soon.
    *
    * @param code the code to report if none does
+   * @param untilMillis before when no server will suit, on the VM's monotonic clock; a past time if
+   *     that is not known
    */
-  record Wait(ResultCode code) implements SessionTarget {}
+  record Wait(ResultCode code, long untilMillis) implements SessionTarget {
+
+    /**
+     * Creates a wait for something that may happen at any time.
+     *
+     * @param code the code to report if it does not happen
+     */
+    public Wait(ResultCode code) {
+      this(code, Long.MIN_VALUE);
+    }
+  }
 }
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/FleetPositionsTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/FleetPositionsTests.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import org.cowslipdale.core.backend.Announcement;
 import org.cowslipdale.core.backend.BackendRegistry;
+import org.cowslipdale.core.backend.ServerBackoff;
 import org.cowslipdale.core.backend.ServerRole;
 import org.cowslipdale.core.routing.SessionTarget.RunOn;
 import org.cowslipdale.core.session.LogPosition;
@@ -152,7 +153,13 @@
     BackendRegistry registry = servers();
     DatabaseState state = new DatabaseState(2, "bonds-1", List.of(new TermStart(2, 0)));
     SessionRouter router =
-        new SessionRouter("domain-b", "north", new NoLoad(), new ReplicaProgress());
+        new SessionRouter(
+            "vm1",
+            "domain-b",
+            "north",
+            new NoLoad(),
+            new ReplicaProgress(),
+            new ServerBackoff(random));
     for (int i = 0; i < count; i++) {
       Vm vm = new Vm(new Clock(random.nextInt(1_000_000_000), 1), 60_000);
       vms.add(vm);
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterTests.java
@@ -10,9 +10,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import org.cowslipdale.core.backend.Announcement;
 import org.cowslipdale.core.backend.BackendRegistry;
+import org.cowslipdale.core.backend.ServerBackoff;
 import org.cowslipdale.core.backend.ServerRole;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.routing.SessionTarget.RunOn;
@@ -36,10 +38,11 @@
   private final BackendRegistry registry = new BackendRegistry();
   private final PositionHistory history = new PositionHistory();
   private final ReplicaProgress progress = new ReplicaProgress();
+  private final ServerBackoff backoff = new ServerBackoff(new Random(1));
   private final Set<String> ejected = new HashSet<>();
   private final DatabaseState state = new DatabaseState(2, "bonds-1", List.of(new TermStart(2, 0)));
   private final SessionRouter router =
-      new SessionRouter("domain-b", "north", new FakeLoad(), progress);
+      new SessionRouter("vm1", "domain-b", "north", new FakeLoad(), progress, backoff);
 
   private final class FakeLoad implements ServerLoad {
 
@@ -168,6 +171,46 @@
     assertThat(server(route(read(BOUNDED), LEASED)), is("bonds-2"));
   }
 
+  @Test
+  void aReadLeavesABusyServerAtOnceAndAWriteWaitsForIt() {
+    sample(NOW - 1_200, 65);
+    backoff.declined("bonds-2", NOW);
+    assertThat(server(route(read(BOUNDED), LEASED)), is("bonds-1"));
+
+    backoff.declined("bonds-1", NOW);
+    assertThat("in another region", server(route(read(BOUNDED), LEASED)), is("bonds-3"));
+    assertThat(
+        route(write(), LEASED),
+        is(new SessionTarget.Wait(ResultCode.OVERLOADED, backoff.untilMillis("bonds-1"))));
+  }
+
+  @Test
+  void aServerThatWasBusyIsSparedByReadsForAWhile() {
+    sample(NOW - 100, 65);
+    backoff.declined("bonds-2", NOW - 1_000);
+    backoff.declined("bonds-1", NOW - 1_000);
+    assertThat(server(route(read(BOUNDED), LEASED)), is("bonds-3"));
+    assertThat(server(route(write(), LEASED)), is("bonds-1"));
+
+    backoff.declined("bonds-3", NOW - 1_000);
+    assertThat("all were busy", server(route(read(BOUNDED), LEASED)), is("bonds-2"));
+  }
+
+  @Test
+  void readsOfVmsBetweenEqualServersUseAllOfThem() {
+    sample(NOW - 1_200, 65);
+    announce("bonds-4", "domain-d", "north", ServerRole.REPLICA, false, 1);
+    Set<String> used = new HashSet<>();
+    for (int vm = 0; vm < 20; vm++) {
+      SessionRouter other =
+          new SessionRouter("vm" + vm, "domain-x", "north", new FakeLoad(), progress, backoff);
+      used.add(
+          server(other.route(read(BOUNDED), registry.group("bonds"), state, LEASED, history, NOW)));
+    }
+
+    assertThat(used, is(Set.of("bonds-2", "bonds-4")));
+  }
+
   @Test
   void serversThatLeaveOrFailOrDeclinedAreAvoided() {
     sample(NOW - 1_200, 65);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionPath.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionPath.java
@@ -8,9 +8,11 @@
 import io.vertx.core.Vertx;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
 import org.cowslipdale.config.settings.DaemonSettings;
 import org.cowslipdale.core.backend.BackendRegistry;
+import org.cowslipdale.core.backend.ServerBackoff;
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.failover.PrimaryEvidence;
 import org.cowslipdale.core.result.CowslipException;
@@ -85,16 +87,23 @@
   @Override
   public void connect(ControlPlane control) {
     ReplicaProgress progress = new ReplicaProgress();
+    ServerBackoff backoff = new ServerBackoff(new Random());
     SessionContext context =
         new SessionContext(
             views,
             registry,
             health,
             new SessionRouter(
-                settings.vm().failureDomain(), settings.vm().region(), pools, progress),
+                settings.vm().name(),
+                settings.vm().failureDomain(),
+                settings.vm().region(),
+                pools,
+                progress,
+                backoff),
             pools,
             progress,
             control.positions(),
+            backoff,
             evidence,
             control.limiter(),
             clock);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionContext.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionContext.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import org.cowslipdale.core.backend.BackendRegistry;
+import org.cowslipdale.core.backend.ServerBackoff;
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.failover.PrimaryEvidence;
 import org.cowslipdale.core.routing.FleetPositions;
@@ -22,6 +23,7 @@
  * @param pools connections to servers
  * @param progress how far lagging replicas are
  * @param positions the positions that primaries stated
+ * @param backoff the servers that were busy
  * @param evidence what is known of primaries
  * @param limiter keeps customers within their rates
  * @param clock the clocks of the VM
@@ -34,6 +36,7 @@
     SessionPools pools,
     ReplicaProgress progress,
     FleetPositions positions,
+    ServerBackoff backoff,
     PrimaryEvidence evidence,
     RateLimiter limiter,
     VmClock clock) {
@@ -47,6 +50,7 @@
     requireNonNull(pools, "pools");
     requireNonNull(progress, "progress");
     requireNonNull(positions, "positions");
+    requireNonNull(backoff, "backoff");
     requireNonNull(evidence, "evidence");
     requireNonNull(limiter, "limiter");
     requireNonNull(clock, "clock");
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -186,6 +186,7 @@
     private final long startedMillis;
     private ResultCode lastReason = ResultCode.WAIT_LIMIT_REACHED;
     private boolean sent;
+    private boolean busy;
 
     Attempts(Job job) {
       this.job = job;
@@ -211,7 +212,7 @@
     private T runOnSomeServer() throws RefusalException {
       while (true) {
         switch (route()) {
-          case SessionTarget.Wait wait -> pause(wait.code());
+          case SessionTarget.Wait wait -> await(wait);
           case RunOn target -> {
             Optional<T> result = tryServer(target);
             if (result.isPresent()) {
@@ -331,7 +332,10 @@
       lastReason = e.code();
       boolean refusedBusy =
           e.failure().filter(failure -> failure == ServerFailure.TOO_MANY_CONNECTIONS).isPresent();
-      if (!refusedBusy) {
+      if (refusedBusy) {
+        busy = true;
+        context.backoff().declined(server, context.clock().millis());
+      } else {
         context.health().failed(server, context.clock().millis());
         if (target.asPrimary()) {
           checker.check(job.operation().route().database());
@@ -367,24 +371,43 @@
       }
     }
 
+    /** A server that was busy is not routed to until its pause has ended. */
     private void declined(RunOn target) throws RefusalException {
+      if (busy) {
+        busy = false;
+        return;
+      }
       tried.add(target.server().name());
       if (target.leaseNeeded() || job.write()) {
         pause(lastReason);
       }
     }
 
+    private void await(SessionTarget.Wait wait) throws RefusalException {
+      long pause = wait.untilMillis() - context.clock().millis();
+      if (pause <= 0) {
+        pause(wait.code());
+        return;
+      }
+      sleep(Math.min(pause, left(wait.code())));
+      tried.clear();
+    }
+
     private void pause(ResultCode code) throws RefusalException {
-      long now = context.clock().millis();
-      long left = job.deadlineMillis() - LEAST_RUN_MILLIS - now;
+      long jittered = pauseMillis / 2 + ThreadLocalRandom.current().nextLong(pauseMillis);
+      sleep(Math.min(jittered + 1, left(code)));
+      pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, pauseMillis * 2);
+      tried.clear();
+    }
+
+    /** Returns how long the statement may still wait before it is sent, in milliseconds. */
+    private long left(ResultCode code) throws RefusalException {
+      long left = job.deadlineMillis() - LEAST_RUN_MILLIS - context.clock().millis();
       if (left <= 0) {
         boolean notRun = code.outcome() == Outcome.NOT_RUN;
         throw new RefusalException(notRun ? code : ResultCode.WAIT_LIMIT_REACHED);
       }
-      long jittered = pauseMillis / 2 + ThreadLocalRandom.current().nextLong(pauseMillis);
-      sleep(Math.min(jittered + 1, left));
-      pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, pauseMillis * 2);
-      tried.clear();
+      return left;
     }
   }
 
@@ -419,6 +442,7 @@
       throws RefusalException {
     line(LogEvent.SERVER_DECLINED, attempts.job, target).with("reason", failure).write();
     attempts.lastReason = refusal(failure);
+    attempts.busy = failure == ServerFailure.BUSY;
     boolean again = !failure.mayHaveRun() || !attempts.job.write();
     boolean hopeless = failure == ServerFailure.INVALID;
     if (again && !hopeless) {
@@ -465,6 +489,11 @@
   private void answered(Job job, RunOn target, ServerReply reply, long sentMillis) {
     String database = job.operation().route().database();
     context.health().succeeded(target.server().name());
+    if (reply.failure() == ServerFailure.BUSY) {
+      context.backoff().declined(target.server().name(), context.clock().millis());
+    } else if (reply.failure() == null) {
+      context.backoff().served(target.server().name(), context.clock().millis());
+    }
     if (target.after() != null && reply.failure() == ServerFailure.BEHIND) {
       LogPosition reached = reply.position() == null ? LogPosition.ZERO : reply.position();
       context.progress().declined(target.server().name(), reached, context.clock().millis());
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
@@ -9,10 +9,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cowslipdale.core.backend.Announcement;
 import org.cowslipdale.core.backend.BackendRegistry;
+import org.cowslipdale.core.backend.ServerBackoff;
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.backend.ServerRole;
 import org.cowslipdale.core.failover.PrimaryEvidence;
@@ -68,15 +70,17 @@
   private SessionRunner runner() {
     PrimaryEvidence evidence = new PrimaryEvidence();
     ReplicaProgress progress = new ReplicaProgress();
+    ServerBackoff backoff = new ServerBackoff(new Random());
     SessionContext context =
         new SessionContext(
             views,
             registry,
             health,
-            new SessionRouter("a", "r", pools, progress),
+            new SessionRouter("vm1", "a", "r", pools, progress, backoff),
             pools,
             progress,
             new FleetPositions(),
+            backoff,
             evidence,
             new CountingLimiter(),
             clock);
