--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -162,6 +162,9 @@
       return refusal(request);
     }
     current.failover().report(from, request.reports(), request.reached());
+    if (request.positions() != null) {
+      current.positions().reported(request.positions());
+    }
     if (registered) {
       current.leases().grant(from, request.version(), now);
       current.leases().grantedTo(from, request.sentMillis());
@@ -176,7 +179,8 @@
         commands.isPresent() ? null : view,
         request.sentMillis(),
         voterNames(),
-        callerVms(current, view, now));
+        callerVms(current, view, now),
+        record != null && record.servesCallers() ? current.positions().news(now) : null);
   }
 
   /** Counts the VMs that serve callers and may have connections to servers. */
@@ -287,7 +291,8 @@
         null,
         request.sentMillis(),
         voterNames(),
-        0);
+        0,
+        null);
   }
 
   private List<String> voterNames() {
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
@@ -10,6 +10,7 @@
 import org.cowslipdale.core.backend.BackendRegistry;
 import org.cowslipdale.core.failover.PrimaryEvidence;
 import org.cowslipdale.core.failover.Promotion;
+import org.cowslipdale.core.routing.PositionReport;
 import org.cowslipdale.core.view.VmRecord;
 import org.cowslipdale.daemon.connection.BackendException;
 import org.cowslipdale.daemon.peer.PeerMessage.FleetQuery;
@@ -74,9 +75,11 @@
   /** The network may hold back what a stopped process said until its successor holds a lease. */
   @Test
   void aLeaseIsNotGivenBackByARequestThatWasSentBeforeIt() {
-    LeaseRequest release = new LeaseRequest(1, List.of(), List.of(), clock.millis(), true);
+    LeaseRequest release =
+        new LeaseRequest(1, List.of(), List.of(), clock.millis(), true, PositionReport.NONE);
     LeaseRequest renewal =
-        new LeaseRequest(1, List.of(), List.of(), release.sentMillis() + 1_000, false);
+        new LeaseRequest(
+            1, List.of(), List.of(), release.sentMillis() + 1_000, false, PositionReport.NONE);
 
     assertThat(voter.lease(OTHER, renewal).granted(), is(true));
     voter.lease(OTHER, release);
