--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -19,6 +20,7 @@
 import org.cowslipdale.daemon.control.ControlPlane;
 import org.cowslipdale.daemon.peer.PeerNetwork;
 import org.cowslipdale.daemon.storage.ControlStore;
+import org.cowslipdale.daemon.telemetry.CountingAppender;
 import org.cowslipdale.daemon.telemetry.DecisionLog;
 import org.cowslipdale.daemon.telemetry.LogEvent;
 import org.cowslipdale.daemon.telemetry.Tracing;
@@ -233,6 +235,10 @@
             holder -> (double) (holder.get().lease().endMillis() - clock.millis()))
         .description("For how long the lease is still valid; negative after its end")
         .register(meters);
+    FunctionCounter.builder(
+            "cowslipdale.log.dropped.lines", meters, ignored -> CountingAppender.droppedLines())
+        .description("Log lines that were dropped because the output could not keep up")
+        .register(meters);
     Gauge.builder("cowslipdale.peer.sent.bytes", peerBytes, bytes -> (double) bytes.get())
         .description("Bytes sent to other VMs since the start")
         .register(meters);
