Account for the connections that VMs open to a server with permits of the control leader

Servers of the grown sites accept 82 connections; with one for each of 87 VMs the sum is over the cap at rest. Nothing uses it yet.

--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/permit/HeldPermits.java
@@ -0,0 +1,111 @@
+package org.cowslipdale.core.permit;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeSet;
+
+/**
+ * The permits to open connections to servers that this VM holds.
+ *
+ * <p>A permit outlives the connection that was opened with it, until it is given back. This class
+ * is safe for use by several threads.
+ */
+public final class HeldPermits {
+
+  private final long incarnation;
+  private final Map<String, Integer> held = new HashMap<>();
+  private final Map<String, Integer> used = new HashMap<>();
+  private final TreeSet<Long> unsettled = new TreeSet<>();
+  private long lastNumber;
+  private String leader = "";
+
+  /**
+   * Creates an account without permits.
+   *
+   * @param incarnation differs from that of any former process of the VM
+   */
+  public HeldPermits(long incarnation) {
+    this.incarnation = incarnation;
+  }
+
+  /**
+   * Uses a permit for a connection that is about to be opened.
+   *
+   * @param server the name of the server
+   * @return whether there is one
+   */
+  public synchronized boolean use(String server) {
+    if (count(used, server) >= count(held, server)) {
+      return false;
+    }
+    used.merge(server, 1, Integer::sum);
+    return true;
+  }
+
+  /**
+   * Takes in that a connection is closed; its permit may be used again.
+   *
+   * @param server the name of the server
+   */
+  public synchronized void closed(String server) {
+    used.merge(server, -1, Integer::sum);
+  }
+
+  /**
+   * Gives the permits of a server back that no connection uses; the next statement tells it.
+   *
+   * @param server the name of the server
+   */
+  public synchronized void giveBack(String server) {
+    held.put(server, Math.min(count(held, server), count(used, server)));
+  }
+
+  /** Gives all permits back that no connection uses; the next statement tells it. */
+  public synchronized void giveBackAll() {
+    held.keySet().forEach(this::giveBack);
+  }
+
+  /**
+   * Creates a request for a permit, which has to be settled.
+   *
+   * @param server the name of the server
+   * @param capacity how many connections the VMs may have to the server together
+   */
+  public synchronized PermitAsk ask(String server, int capacity) {
+    lastNumber++;
+    unsettled.add(lastNumber);
+    return new PermitAsk(incarnation, lastNumber, server, capacity);
+  }
+
+  /**
+   * Settles a request.
+   *
+   * @param ask the request
+   * @param lent whether the answer granted it; false if no answer came in time
+   */
+  public synchronized void settle(PermitAsk ask, boolean lent) {
+    if (unsettled.remove(ask.number()) && lent) {
+      held.merge(ask.server(), 1, Integer::sum);
+    }
+  }
+
+  /**
+   * Returns what the control leader should know. What another leader lends from now on is ignored.
+   *
+   * @param to the name of the leader
+   */
+  public synchronized PermitStatement statement(String to) {
+    if (!leader.equals(to)) {
+      leader = to;
+      unsettled.clear();
+    }
+    long settled = unsettled.isEmpty() ? lastNumber : unsettled.first() - 1;
+    Map<String, Integer> stated = new HashMap<>(held);
+    stated.values().removeIf(count -> count == 0);
+    return new PermitStatement(incarnation, settled, stated);
+  }
+
+  private static int count(Map<String, Integer> counts, String server) {
+    return counts.getOrDefault(server, 0);
+  }
+}
