Borrow permits for connections where a server accepts fewer than there are VMs

A VM whose share is less than one connection now asks the control leader for permits and keeps them until they are recalled; other VMs' shares are unchanged. A VM without a lease keeps its permits for as long as it may serve customers, and the leader reserves them until servers have dropped its connections.

PermitTests.theSharesOfAllVmsFitTheLimitOfAServer failed with the former least share of one: 87 connections at a limit of 82, 300 at 300 VMs.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/control/LeaseTable.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/control/LeaseTable.java
@@ -86,6 +86,20 @@
     return now < leaseBoundMillis(vm) + LeaseTimings.SERVER_CONNECTION_MILLIS;
   }
 
+  /**
+   * Tells whether servers may still count connections that a VM opened with permits. A VM without a
+   * lease keeps them while it serves customers.
+   *
+   * @param vm the name of the VM
+   * @param now the present time on the leader's monotonic clock, in milliseconds
+   */
+  public boolean mayHoldPermits(String vm, long now) {
+    return now
+        < leaseBoundMillis(vm)
+            + LeaseTimings.KEY_GRACE_BOUND_MILLIS
+            + LeaseTimings.SERVER_CONNECTION_MILLIS;
+  }
+
   /** Of a VM that this leader does not know, the former leader may have known. */
   private long leaseBoundMillis(String vm) {
     Entry entry = entries.get(vm);
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/permit/HeldPermits.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/permit/HeldPermits.java
@@ -1,7 +1,9 @@
 package org.cowslipdale.core.permit;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
 
 /**
@@ -15,6 +17,7 @@
   private final long incarnation;
   private final Map<String, Integer> held = new HashMap<>();
   private final Map<String, Integer> used = new HashMap<>();
+  private final Set<String> scarce = new HashSet<>();
   private final TreeSet<Long> unsettled = new TreeSet<>();
   private long lastNumber;
   private String leader = "";
@@ -32,16 +35,50 @@
    * Uses a permit for a connection that is about to be opened.
    *
    * @param server the name of the server
+   * @param share how many connections the VM may open without permits; once it was 0, permits are
+   *     needed for good, so that the leader's account stays complete
    * @return whether there is one
    */
-  public synchronized boolean use(String server) {
-    if (count(used, server) >= count(held, server)) {
+  public synchronized boolean use(String server, int share) {
+    if (count(used, server) >= allowed(server, share)) {
       return false;
     }
     used.merge(server, 1, Integer::sum);
     return true;
   }
 
+  /**
+   * Tells whether there are more connections to a server than the VM may have now.
+   *
+   * @param server the name of the server
+   * @param share how many connections the VM may open without permits
+   */
+  public synchronized boolean isExceeded(String server, int share) {
+    return count(used, server) > allowed(server, share);
+  }
+
+  /**
+   * Tells whether connections to a server need permits.
+   *
+   * @param server the name of the server
+   */
+  public synchronized boolean isScarce(String server) {
+    return scarce.contains(server);
+  }
+
+  /** Returns the servers to which connections need permits. */
+  public synchronized Set<String> scarce() {
+    return Set.copyOf(scarce);
+  }
+
+  /** The connections that were opened without permits keep their places as permits. */
+  private int allowed(String server, int share) {
+    if (share == 0 && scarce.add(server)) {
+      held.merge(server, count(used, server), Math::max);
+    }
+    return scarce.contains(server) ? count(held, server) : share;
+  }
+
   /**
    * Takes in that a connection is closed; its permit may be used again.
    *
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/permit/PermitTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/permit/PermitTests.java
@@ -62,7 +62,7 @@
     private int process;
     private int idle;
     private int running;
-    private long leaseEnd = Long.MIN_VALUE;
+    private long leaseEnd = -LeaseTimings.KEY_GRACE_MILLIS;
     private boolean cutOff;
 
     Vm(String name) {
@@ -70,7 +70,7 @@
     }
 
     void renew() {
-      if (now >= leaseEnd) {
+      if (!mayServe()) {
         closeIdle();
         permits.giveBackAll();
       }
@@ -86,15 +86,19 @@
       after(LeaseTimings.RENEWAL_MILLIS, this::renew);
     }
 
+    private boolean mayServe() {
+      return now < leaseEnd + LeaseTimings.KEY_GRACE_MILLIS;
+    }
+
     void operation(long since) {
       if (idle > 0) {
         idle--;
         run(since);
-      } else if (now < leaseEnd && permits.use(SERVER)) {
+      } else if (mayServe() && permits.use(SERVER, 0)) {
         connections++;
         mostConnections = Math.max(mostConnections, connections);
         run(since);
-      } else if (now < leaseEnd) {
+      } else if (mayServe()) {
         askFor(since);
       } else {
         after(RETRY_MILLIS, () -> operation(since));
@@ -159,7 +163,7 @@
       idle = 0;
       running = 0;
       process++;
-      leaseEnd = Long.MIN_VALUE;
+      leaseEnd = -LeaseTimings.KEY_GRACE_MILLIS;
       permits = new HeldPermits(random.nextLong());
     }
 
@@ -220,6 +224,7 @@
                 now
                     < leasedMillis.getOrDefault(vm, electedMillis)
                         + LeaseTimings.LEASE_BOUND_MILLIS
+                        + LeaseTimings.KEY_GRACE_BOUND_MILLIS
                         + LeaseTimings.SERVER_CONNECTION_MILLIS)
         .collect(Collectors.toSet());
   }
@@ -254,6 +259,25 @@
     assertThat(mostConnections, is(lessThanOrEqualTo(CAPACITY)));
   }
 
+  @ParameterizedTest
+  @CsvSource({"82, 9", "82, 87", "82, 300", "218, 64", "38, 9"})
+  void theSharesOfAllVmsFitTheLimitOfAServer(int limit, int count) {
+    assertThat(ConnectionShare.of(limit, count) * count, is(lessThanOrEqualTo(limit)));
+  }
+
+  @Test
+  void connectionsOpenedBeforePermitsWereNeededAreStated() {
+    HeldPermits permits = new HeldPermits(1);
+    assertThat(permits.use(SERVER, 2), is(true));
+    assertThat(permits.use(SERVER, 1), is(false));
+    assertThat(permits.use(SERVER, 0), is(false));
+    assertThat(permits.statement("control-1").held(), is(Map.of(SERVER, 1)));
+
+    permits.closed(SERVER);
+    assertThat("the share is back", permits.use(SERVER, 2), is(true));
+    assertThat(permits.use(SERVER, 2), is(false));
+  }
+
   @Test
   void aVmThatHasNotStatedWhatItHoldsCountsInFull() {
     Set<String> users = Set.of("vm1", "vm2");
@@ -306,7 +330,7 @@
       vm.restart();
     } else {
       vm.cutOff = true;
-      after(1_000 + random.nextInt(15_000), () -> vm.cutOff = false);
+      after(1_000 + random.nextInt(25_000), () -> vm.cutOff = false);
     }
   }
 
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlPlane.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlPlane.java
@@ -46,6 +46,7 @@
 import org.cowslipdale.daemon.request.RequestClaims;
 import org.cowslipdale.daemon.request.TransactionForwarder;
 import org.cowslipdale.daemon.request.TransactionStep;
+import org.cowslipdale.daemon.session.ConnectionPermits;
 import org.cowslipdale.daemon.storage.ControlStore;
 import org.cowslipdale.daemon.telemetry.DecisionLog;
 import org.cowslipdale.daemon.telemetry.LogEvent;
@@ -83,6 +84,7 @@
   private final FleetRateLimiter limiter;
   private final FleetClaims fleetClaims;
   private final FleetPositions positions = new FleetPositions();
+  private final FleetPermits permits;
   private final TransactionForwarder forwarder;
   private final @Nullable Voter voter;
   private volatile Function<TransactionStep, Reply> steps =
@@ -118,6 +120,7 @@
     String vm = settings.vm().name();
     Set<String> logKeepers = logKeepers(settings);
     this.link = new ControlLink(vm, network, logKeepers);
+    this.permits = new FleetPermits(link, views, clock);
     VmRecord self =
         new VmRecord(
             vm,
@@ -131,13 +134,15 @@
     switch (access) {
       case BackendAccess.Direct direct -> {
         PrimaryProbe probe = new PrimaryProbe();
-        this.viewClient = new ViewClient(self, link, views, probe, positions, control, clock);
+        this.viewClient =
+            new ViewClient(self, link, views, probe, positions, permits, control, clock);
         this.prober =
             new Prober(vm, views, registry, direct.connector(), probe, control, viewClient::renew);
       }
       case BackendAccess.Adapted adapted -> {
         this.viewClient =
-            new ViewClient(self, link, views, adapted.evidence(), positions, control, clock);
+            new ViewClient(
+                self, link, views, adapted.evidence(), positions, permits, control, clock);
         this.prober = null;
       }
     }
@@ -186,6 +191,16 @@
     return positions;
   }
 
+  /**
+   * Returns the connections to servers that this VM may open.
+   *
+   * @param closeIdle closes the connections to a server that are not in use
+   */
+  public ConnectionPermits permits(Consumer<String> closeIdle) {
+    permits.setCloseIdle(closeIdle);
+    return permits;
+  }
+
   /** Returns the claims on request ids. */
   public RequestClaims claims() {
     return fleetClaims;
@@ -328,6 +343,7 @@
     viewClient.tick();
     relay.flush();
     limiter.tick();
+    permits.tick();
   }
 
   private void received(String from, PeerMessage message, Consumer<PeerMessage> reply) {
@@ -344,6 +360,7 @@
       case PeerMessage.Announcements announcements -> relay.relayed(announcements);
       case ClaimRequest request -> reply.accept(claim(request));
       case ClaimEnd end -> endClaim(end);
+      case PeerMessage.PermitRecall recall -> permits.recalled(recall.server());
       default -> dispatchToVoter(from, message, reply);
     }
   }
@@ -358,6 +375,8 @@
       case LeaseRequest request -> lease(voter, from, request, reply);
       case PeerMessage.Registration registration -> voter.register(registration.vm());
       case TokenRequest request -> reply.accept(voter.issueTokens(from, request));
+      case PeerMessage.PermitRequest request -> voter.askPermit(from, request.ask(), reply);
+      case PeerMessage.PermitReturn returned -> voter.permitsHeld(from, returned.statement());
       case FleetQuery query -> reply.accept(voter.fleet(query));
       case PeerMessage.DocumentQuery query -> reply.accept(voter.document());
       case PeerMessage.ChangeRequest change -> voter.propose(change.command()).thenAccept(reply);
--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetPermits.java
@@ -0,0 +1,113 @@
+package org.cowslipdale.daemon.control;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
+import org.cowslipdale.core.control.LeaseTimings;
+import org.cowslipdale.core.permit.HeldPermits;
+import org.cowslipdale.core.permit.PermitAsk;
+import org.cowslipdale.core.permit.PermitStatement;
+import org.cowslipdale.daemon.peer.PeerMessage;
+import org.cowslipdale.daemon.peer.PeerMessage.PermitReply;
+import org.cowslipdale.daemon.session.ConnectionPermits;
+import org.cowslipdale.daemon.version.ViewHolder;
+import org.cowslipdale.daemon.version.VmClock;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Borrows permits for connections from the control leader where servers accept fewer than there are
+ * VMs.
+ *
+ * <p>A VM without a lease keeps its permits for as long as it may serve customers. It then closes
+ * its connections as soon as they are not in use, because the leader will lend the permits anew.
+ */
+final class FleetPermits implements ConnectionPermits {
+
+  /** Longer than the leader lets an ask wait, and a round trip between regions. */
+  private static final long ANSWER_TIMEOUT_MILLIS = 400;
+
+  private static final long PAUSE_MILLIS = 10;
+
+  private final ControlLink link;
+  private final ViewHolder views;
+  private final VmClock clock;
+  private final HeldPermits permits = new HeldPermits(ThreadLocalRandom.current().nextLong());
+  private volatile Consumer<String> closeIdle = server -> {};
+
+  FleetPermits(ControlLink link, ViewHolder views, VmClock clock) {
+    this.link = requireNonNull(link, "link");
+    this.views = requireNonNull(views, "views");
+    this.clock = requireNonNull(clock, "clock");
+  }
+
+  /** Sets what closes the connections to a server that are not in use. */
+  void setCloseIdle(Consumer<String> action) {
+    closeIdle = action;
+  }
+
+  @Override
+  public boolean use(String server, int share) {
+    return permits.use(server, share);
+  }
+
+  @Override
+  public void closed(String server) {
+    permits.closed(server);
+  }
+
+  @Override
+  public boolean mustClose(String server, int share) {
+    return permits.isExceeded(server, share) || (permits.isScarce(server) && !mayServe());
+  }
+
+  @Override
+  public void borrow(String server, int capacity) {
+    if (!permits.isScarce(server) || !mayServe()) {
+      pause();
+      return;
+    }
+    PermitAsk ask = permits.ask(server, capacity);
+    boolean lent =
+        link.ask(link.leader(), new PeerMessage.PermitRequest(ask), ANSWER_TIMEOUT_MILLIS)
+            .handle((reply, failure) -> reply instanceof PermitReply answer && answer.lent())
+            .join();
+    permits.settle(ask, lent);
+    if (!lent) {
+      pause();
+    }
+  }
+
+  /** Returns what the control leader should know, or null if no server is short. */
+  @Nullable PermitStatement statement(String leader) {
+    return permits.scarce().isEmpty() ? null : permits.statement(leader);
+  }
+
+  /** Gives the permits of a server back that can be done without. */
+  void recalled(String server) {
+    closeIdle.accept(server);
+    permits.giveBack(server);
+    String leader = link.leader();
+    link.send(leader, new PeerMessage.PermitReturn(permits.statement(leader)));
+  }
+
+  void tick() {
+    if (!mayServe()) {
+      permits.scarce().forEach(closeIdle);
+      permits.giveBackAll();
+    }
+  }
+
+  private boolean mayServe() {
+    long now = clock.millis();
+    return views.get().lease().expiredForMillis(now) < LeaseTimings.KEY_GRACE_MILLIS;
+  }
+
+  private static void pause() {
+    try {
+      Thread.sleep(PAUSE_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Leadership.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Leadership.java
@@ -3,13 +3,18 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.cowslipdale.core.control.LeaseTable;
 import org.cowslipdale.core.failover.FailoverCoordinator;
 import org.cowslipdale.core.failover.Promotion;
+import org.cowslipdale.core.permit.PermitAsk;
+import org.cowslipdale.core.permit.PermitOwner;
 import org.cowslipdale.core.quota.TokenOwner;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.routing.PositionBoard;
+import org.cowslipdale.daemon.peer.PeerMessage;
 import org.cowslipdale.daemon.peer.PeerMessage.ChangeReply;
+import org.cowslipdale.daemon.peer.PeerMessage.PermitReply;
 
 /** What lives as long as this VM leads the control log; confined to the control thread. */
 final class Leadership {
@@ -21,6 +26,8 @@
   private final FailoverCoordinator failover;
   private final TokenOwner tokens;
   private final PositionBoard positions;
+  private final PermitOwner permits = new PermitOwner();
+  private final Map<PermitAsk, Consumer<PeerMessage>> permitAsks = new HashMap<>();
   private final Map<Long, CompletableFuture<ChangeReply>> proposals = new HashMap<>();
   private boolean announced;
   private final Map<String, Long> refusalsLoggedMillis = new HashMap<>();
@@ -49,6 +56,21 @@
     return tokens;
   }
 
+  PermitOwner permits() {
+    return permits;
+  }
+
+  void awaitPermit(PermitAsk ask, Consumer<PeerMessage> reply) {
+    permitAsks.put(ask, reply);
+  }
+
+  void permitDecided(PermitAsk ask, boolean lent) {
+    Consumer<PeerMessage> reply = permitAsks.remove(ask);
+    if (reply != null) {
+      reply.accept(new PermitReply(lent));
+    }
+  }
+
   PositionBoard positions() {
     return positions;
   }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ViewClient.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ViewClient.java
@@ -33,6 +33,7 @@
   private final ViewHolder holder;
   private final PrimaryReports probe;
   private final FleetPositions positions;
+  private final FleetPermits permits;
   private final ControlThread control;
   private final VmClock clock;
   private boolean asking;
@@ -47,6 +48,7 @@
       ViewHolder holder,
       PrimaryReports probe,
       FleetPositions positions,
+      FleetPermits permits,
       ControlThread control,
       VmClock clock) {
     this.self = requireNonNull(self, "self");
@@ -54,6 +56,7 @@
     this.holder = requireNonNull(holder, "holder");
     this.probe = requireNonNull(probe, "probe");
     this.positions = requireNonNull(positions, "positions");
+    this.permits = requireNonNull(permits, "permits");
     this.control = requireNonNull(control, "control");
     this.clock = requireNonNull(clock, "clock");
   }
@@ -88,7 +91,7 @@
     stopping = true;
     LeaseRequest request =
         new LeaseRequest(
-            holder.get().view().version(), List.of(), List.of(), clock.millis(), true, null);
+            holder.get().view().version(), List.of(), List.of(), clock.millis(), true, null, null);
     link.send(link.leader(), request);
   }
 
@@ -105,7 +108,8 @@
             probe.reached(now),
             now,
             false,
-            positions.report(now));
+            positions.report(now),
+            permits.statement(leader));
     link.ask(leader, request, ANSWER_TIMEOUT_MILLIS)
         .whenComplete(
             (reply, failure) ->
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -8,6 +8,8 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.cowslipdale.core.backend.BackendRegistry;
 import org.cowslipdale.core.consensus.ConsensusMessage;
 import org.cowslipdale.core.consensus.ConsensusNode;
@@ -17,6 +19,9 @@
 import org.cowslipdale.core.control.ControlState;
 import org.cowslipdale.core.failover.FailoverAction;
 import org.cowslipdale.core.failover.Promotion;
+import org.cowslipdale.core.permit.PermitAsk;
+import org.cowslipdale.core.permit.PermitOwner;
+import org.cowslipdale.core.permit.PermitStatement;
 import org.cowslipdale.core.quota.TokenOwner;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.view.RateLimit;
@@ -51,6 +56,9 @@
   private static final Logger LOG = LoggerFactory.getLogger(Voter.class);
   private static final int ENTRIES_PER_SNAPSHOT = 500;
 
+  /** VMs that are asked to give a permit back for each that is missing; some cannot. */
+  private static final int RECALLED_VMS = 2;
+
   /** A rate must be positive; this one yields a token in a thousand seconds. */
   private static final double LEAST_RATE = 0.001;
 
@@ -115,6 +123,7 @@
         spreadNews();
       }
       tickFailover(current, now);
+      answerPermits(current);
     }
   }
 
@@ -160,6 +169,9 @@
       return refusal(request);
     }
     current.failover().report(from, request.reports(), request.reached());
+    if (request.permits() != null) {
+      permitsHeld(from, request.permits());
+    }
     if (request.positions() != null) {
       current.positions().reported(request.positions());
     }
@@ -190,6 +202,54 @@
     return (int) Math.max(1, serving);
   }
 
+  /** Returns the VMs that may hold permits for connections, also of a former leader. */
+  private static Set<String> permitHolders(Leadership current, View view, long now) {
+    return view.vms().values().stream()
+        .filter(VmRecord::servesCallers)
+        .map(VmRecord::name)
+        .filter(vm -> current.leases().mayHoldPermits(vm, now))
+        .collect(Collectors.toSet());
+  }
+
+  /** Lends a permit for a connection, now or when another VM has given one back. */
+  void askPermit(String from, PermitAsk ask, Consumer<PeerMessage> reply) {
+    Leadership current = leadership;
+    if (failed || current == null || !node.holdsLeaderLease(clock.millis())) {
+      reply.accept(new PeerMessage.PermitReply(false));
+      return;
+    }
+    current.awaitPermit(ask, reply);
+    current.permits().asked(from, ask, clock.millis());
+    if (!answerPermits(current).contains(ask)) {
+      current
+          .permits()
+          .recallFrom(ask.server(), from, RECALLED_VMS)
+          .forEach(vm -> sender.send(vm, new PeerMessage.PermitRecall(ask.server())));
+    }
+  }
+
+  /** Takes in the permits that a VM holds. */
+  void permitsHeld(String from, PermitStatement statement) {
+    Leadership current = leadership;
+    if (!failed && current != null) {
+      current.permits().stated(from, statement, clock.millis());
+      answerPermits(current);
+    }
+  }
+
+  private Set<PermitAsk> answerPermits(Leadership current) {
+    long now = clock.millis();
+    Set<PermitAsk> answered = new HashSet<>();
+    if (node.holdsLeaderLease(now)) {
+      for (PermitOwner.Answer answer :
+          current.permits().answers(permitHolders(current, state.view(), now), now)) {
+        current.permitDecided(answer.ask(), answer.lent());
+        answered.add(answer.ask());
+      }
+    }
+    return answered;
+  }
+
   /** Registers a VM unless it is registered as it wants. */
   void register(VmRecord wanted) {
     VmRecord known = state.view().vms().get(wanted.name());
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerMessage.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerMessage.java
@@ -6,6 +6,8 @@
 import org.cowslipdale.core.consensus.ConsensusMessage;
 import org.cowslipdale.core.control.ChangeRecord;
 import org.cowslipdale.core.failover.ProbeReport;
+import org.cowslipdale.core.permit.PermitAsk;
+import org.cowslipdale.core.permit.PermitStatement;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.routing.PositionNews;
 import org.cowslipdale.core.routing.PositionReport;
@@ -42,6 +44,7 @@
    * @param sentMillis when it was sent, on the VM's monotonic clock
    * @param release whether the VM gives its lease back because it stops
    * @param positions the positions that primaries stated to the VM
+   * @param permits the connections to servers that the VM holds, if any server is short of them
    */
   record LeaseRequest(
       long version,
@@ -49,7 +52,8 @@
       List<ProbeReport> reached,
       long sentMillis,
       boolean release,
-      @Nullable PositionReport positions)
+      @Nullable PositionReport positions,
+      @Nullable PermitStatement permits)
       implements PeerMessage {}
 
   /**
@@ -125,6 +129,34 @@
    */
   record TokenReply(long tokens, long retryMillis) implements PeerMessage {}
 
+  /**
+   * Asks the control leader for a permit to open a connection to a server.
+   *
+   * @param ask what is asked for
+   */
+  record PermitRequest(PermitAsk ask) implements PeerMessage {}
+
+  /**
+   * Answers a request for a permit.
+   *
+   * @param lent whether the permit is lent
+   */
+  record PermitReply(boolean lent) implements PeerMessage {}
+
+  /**
+   * Asks a VM to give permits of a server back that it can do without.
+   *
+   * @param server the name of the server
+   */
+  record PermitRecall(String server) implements PeerMessage {}
+
+  /**
+   * Tells the control leader which permits a VM still holds.
+   *
+   * @param statement what it holds
+   */
+  record PermitReturn(PermitStatement statement) implements PeerMessage {}
+
   /**
    * Claims a request id.
    *
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionPath.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionPath.java
@@ -52,7 +52,7 @@
   private final ServerHealth health = new ServerHealth();
   private final PrimaryEvidence evidence = new PrimaryEvidence();
   private final SessionConnector connector;
-  private final SessionPools pools;
+  private @Nullable SessionPools pools;
   private @Nullable SessionServer sessions;
   private List<Endpoint> endpoints = List.of();
   private long nextCleanUpMillis;
@@ -75,7 +75,6 @@
     this.readiness = requireNonNull(readiness, "readiness");
     this.clock = requireNonNull(clock, "clock");
     this.connector = adapter.sessionConnector(vertx, settings);
-    this.pools = new SessionPools(connector, clock, settings.limits().maxQueued(), health);
   }
 
   @Override
@@ -86,6 +85,14 @@
 
   @Override
   public void connect(ControlPlane control) {
+    SessionPools connections =
+        new SessionPools(
+            connector,
+            clock,
+            settings.limits().maxQueued(),
+            health,
+            control.permits(server -> pools().closeIdle(server)));
+    pools = connections;
     ReplicaProgress progress = new ReplicaProgress();
     ServerBackoff backoff = new ServerBackoff(new Random());
     SessionContext context =
@@ -97,10 +104,10 @@
                 settings.vm().name(),
                 settings.vm().failureDomain(),
                 settings.vm().region(),
-                pools,
+                connections,
                 progress,
                 backoff),
-            pools,
+            connections,
             progress,
             control.positions(),
             backoff,
@@ -135,7 +142,7 @@
 
   @Override
   public void tick(long now) {
-    pools.tick(now);
+    pools().tick(now);
     if (now >= nextCleanUpMillis) {
       nextCleanUpMillis = now + CLEAN_UP_MILLIS;
       if (!readiness.canServe()) {
@@ -145,7 +152,7 @@
       registry
           .databases()
           .forEach(database -> known.addAll(registry.group(database).servers().keySet()));
-      pools.retain(known);
+      pools().retain(known);
     }
   }
 
@@ -171,7 +178,13 @@
 
   @Override
   public void close() {
-    pools.close();
+    if (pools != null) {
+      pools.close();
+    }
+  }
+
+  private SessionPools pools() {
+    return requireNonNull(pools, "pools");
   }
 
   private SessionServer sessions() {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import org.cowslipdale.core.admission.QueuePolicy;
 import org.cowslipdale.core.admission.SlotQueue;
+import org.cowslipdale.core.permit.PermitOwner;
 import org.cowslipdale.core.result.RefusalException;
+import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.daemon.connection.BackendException;
 import org.cowslipdale.daemon.connection.ServerRef;
 import org.cowslipdale.daemon.connection.TicketFuture;
@@ -29,17 +31,26 @@
   private final VmClock clock;
   private final SlotQueue<TicketFuture> queue;
   private final Deque<PooledSession> idle = new ArrayDeque<>();
-  private int limit;
-  private int open;
+  private final ConnectionPermits permits;
+  private volatile int share;
+  private volatile int capacity;
   private boolean closed;
 
   SessionPool(
-      ServerRef server, SessionConnector connector, VmClock clock, int limit, int maxQueued) {
+      ServerRef server,
+      SessionConnector connector,
+      VmClock clock,
+      ConnectionPermits permits,
+      int share,
+      int capacity,
+      int maxQueued) {
     this.server = server;
     this.connector = connector;
     this.clock = clock;
-    this.limit = limit;
-    this.queue = new SlotQueue<>(new QueuePolicy.Fair(), limit, maxQueued);
+    this.permits = permits;
+    this.share = share;
+    this.capacity = capacity;
+    this.queue = new SlotQueue<>(new QueuePolicy.Fair(), places(share), maxQueued);
   }
 
   ServerRef server() {
@@ -50,11 +61,14 @@
     return queue.outstanding();
   }
 
-  void resize(int connections) {
-    synchronized (this) {
-      limit = connections;
-    }
-    queue.resize(connections);
+  void resize(int newShare, int newCapacity) {
+    share = newShare;
+    capacity = newCapacity;
+    queue.resize(places(newShare));
+  }
+
+  private static int places(int share) {
+    return share > 0 ? share : PermitOwner.MOST_PER_VM;
   }
 
   /** Expires requests that waited too long. */
@@ -76,8 +90,8 @@
     TicketFuture.awaitSlot(queue, customer, placeByMillis, clock.millis());
     long acquiredMillis = clock.millis();
     try {
-      return new Lease(connection(customer, values, deadlineMillis), acquiredMillis);
-    } catch (BackendException e) {
+      return new Lease(connection(customer, values, placeByMillis, deadlineMillis), acquiredMillis);
+    } catch (BackendException | RefusalException e) {
       TicketFuture.wake(queue.release(0, clock.millis()));
       throw e;
     }
@@ -102,27 +116,37 @@
     return idle.poll();
   }
 
-  private PooledSession connection(String customer, Map<String, String> values, long deadlineMillis)
-      throws BackendException {
+  private PooledSession connection(
+      String customer, Map<String, String> values, long placeByMillis, long deadlineMillis)
+      throws BackendException, RefusalException {
     PooledSession known = takeIdle(customer, values);
     if (known != null) {
       return known;
     }
-    PooledSession evicted = reserve();
-    if (evicted != null) {
-      evicted.close();
-    }
+    awaitPermit(placeByMillis);
     try {
       long timeout = Math.clamp(deadlineMillis - clock.millis(), 1, CONNECT_TIMEOUT_MILLIS);
       return new PooledSession(connector.connect(server, customer, timeout), customer);
     } catch (BackendException e) {
-      synchronized (this) {
-        open--;
-      }
+      permits.closed(server.server());
       throw e;
     }
   }
 
+  /** Takes a permit, that of another customer's idle connection if necessary. */
+  private void awaitPermit(long untilMillis) throws RefusalException {
+    while (!permits.use(server.server(), share)) {
+      PooledSession evicted = pollOldestIdle();
+      if (evicted != null) {
+        closeCounted(evicted);
+      } else if (clock.millis() >= untilMillis) {
+        throw new RefusalException(ResultCode.WAIT_LIMIT_REACHED);
+      } else {
+        permits.borrow(server.server(), capacity);
+      }
+    }
+  }
+
   private synchronized @Nullable PooledSession takeIdle(
       String customer, Map<String, String> values) {
     PooledSession best = null;
@@ -130,8 +154,7 @@
       PooledSession session = each.next();
       if (!session.isUsable()) {
         each.remove();
-        open--;
-        session.close();
+        closeCounted(session);
       } else if (session.customer().equals(customer)
           && (best == null || session.distance(values) < best.distance(values))) {
         best = session;
@@ -143,20 +166,13 @@
     return best;
   }
 
-  /** Counts a new connection, and returns the idle one that makes room for it, if any. */
-  private synchronized @Nullable PooledSession reserve() {
-    PooledSession evicted = open >= limit ? idle.pollLast() : null;
-    if (evicted == null) {
-      open++;
-    }
-    return evicted;
+  private synchronized @Nullable PooledSession pollOldestIdle() {
+    return idle.pollLast();
   }
 
   private void closeCounted(PooledSession session) {
-    synchronized (this) {
-      open--;
-    }
     session.close();
+    permits.closed(server.server());
   }
 
   /** The use of a connection by one statement or transaction. */
@@ -198,7 +214,7 @@
 
     private boolean giveBack() {
       synchronized (SessionPool.this) {
-        if (closed || open > limit) {
+        if (closed || permits.mustClose(server.server(), share)) {
           return false;
         }
         idle.push(session);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentMap;
 import org.cowslipdale.core.backend.BackendServer;
 import org.cowslipdale.core.backend.ServerHealth;
+import org.cowslipdale.core.permit.ConnectionShare;
 import org.cowslipdale.core.result.RefusalException;
 import org.cowslipdale.core.routing.ServerLoad;
 import org.cowslipdale.daemon.connection.BackendException;
@@ -18,16 +19,15 @@
 /**
  * The connections of this VM to backend servers that keep a state, one pool for each server.
  *
- * <p>The connections that a server accepts are shared equally among the VMs that serve callers.
+ * <p>The connections that a server accepts are shared equally among the VMs that serve callers, or
+ * borrowed where there are fewer than VMs.
  */
 public final class SessionPools implements ServerLoad, AutoCloseable {
 
-  /** Connections of a server that are left for questions about its state. */
-  private static final int RESERVED_CONNECTIONS = 2;
-
   private final SessionConnector connector;
   private final VmClock clock;
   private final int maxQueued;
+  private final ConnectionPermits permits;
   private final ServerHealth health;
   private final ConcurrentMap<String, SessionPool> pools = new ConcurrentHashMap<>();
 
@@ -38,13 +38,19 @@
    * @param clock the clocks of the VM
    * @param maxQueued requests that wait for one server at a time
    * @param health the failures seen on each server
+   * @param permits the connections that may be opened
    */
   public SessionPools(
-      SessionConnector connector, VmClock clock, int maxQueued, ServerHealth health) {
+      SessionConnector connector,
+      VmClock clock,
+      int maxQueued,
+      ServerHealth health,
+      ConnectionPermits permits) {
     this.connector = requireNonNull(connector, "connector");
     this.clock = requireNonNull(clock, "clock");
     this.maxQueued = maxQueued;
     this.health = requireNonNull(health, "health");
+    this.permits = requireNonNull(permits, "permits");
   }
 
   SessionPool.Lease acquire(
@@ -58,8 +64,12 @@
     return pool(server, current).acquire(customer, values, placeByMillis, deadlineMillis);
   }
 
-  /** Closes the idle connections to a server, because one of them has failed. */
-  void closeIdle(String server) {
+  /**
+   * Closes the idle connections to a server.
+   *
+   * @param server the name of the server
+   */
+  public void closeIdle(String server) {
     SessionPool pool = pools.get(server);
     if (pool != null) {
       pool.closeIdle();
@@ -111,10 +121,12 @@
 
   private SessionPool pool(BackendServer server, CurrentView current) {
     ServerRef wanted = ServerRef.of(server.announcement());
-    int limit = connections(server, current);
+    int limit = connectionLimit(server, current);
+    int share = ConnectionShare.of(limit, current.callerVms());
+    int capacity = ConnectionShare.capacity(limit);
     SessionPool known = pools.get(wanted.server());
     if (known != null && known.server().equals(wanted)) {
-      known.resize(limit);
+      known.resize(share, capacity);
       return known;
     }
     return pools.compute(
@@ -126,16 +138,14 @@
           if (pool != null) {
             pool.close();
           }
-          return new SessionPool(wanted, connector, clock, limit, maxQueued);
+          return new SessionPool(wanted, connector, clock, permits, share, capacity, maxQueued);
         });
   }
 
-  private static int connections(BackendServer server, CurrentView current) {
+  private static int connectionLimit(BackendServer server, CurrentView current) {
     var declared = current.view().configuration().databases().get(server.announcement().database());
-    int limit =
-        declared == null || declared.connectionLimit() == 0
-            ? server.announcement().connectionLimit()
-            : declared.connectionLimit();
-    return Math.max(1, (limit - RESERVED_CONNECTIONS) / Math.max(1, current.callerVms()));
+    return declared == null || declared.connectionLimit() == 0
+        ? server.announcement().connectionLimit()
+        : declared.connectionLimit();
   }
 }
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
@@ -18,6 +18,7 @@
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.backend.ServerRole;
 import org.cowslipdale.core.failover.PrimaryEvidence;
+import org.cowslipdale.core.permit.HeldPermits;
 import org.cowslipdale.core.result.RefusalException;
 import org.cowslipdale.core.routing.FleetPositions;
 import org.cowslipdale.core.routing.ReplicaProgress;
@@ -52,7 +53,7 @@
   private final BackendRegistry registry = new BackendRegistry(60_000);
   private final FakeServers servers = new FakeServers();
   private final ServerHealth health = new ServerHealth();
-  private final SessionPools pools = new SessionPools(servers, clock, 100, health);
+  private final SessionPools pools = new SessionPools(servers, clock, 100, health, new OwnShare());
   private final AtomicInteger tokensGivenBack = new AtomicInteger();
   private final List<Thread> threads = new ArrayList<>();
   private final List<CountDownLatch> held = new ArrayList<>();
@@ -67,6 +68,32 @@
     threads.add(Thread.startVirtualThread(this::tickPools));
   }
 
+  /** The connections of a VM that has its share of every server. */
+  private static final class OwnShare implements ConnectionPermits {
+
+    private final HeldPermits permits = new HeldPermits(1);
+
+    @Override
+    public boolean use(String server, int share) {
+      return permits.use(server, share);
+    }
+
+    @Override
+    public void closed(String server) {
+      permits.closed(server);
+    }
+
+    @Override
+    public boolean mustClose(String server, int share) {
+      return permits.isExceeded(server, share);
+    }
+
+    @Override
+    public void borrow(String server, int capacity) {
+      pause(10);
+    }
+  }
+
   private SessionRunner runner() {
     PrimaryEvidence evidence = new PrimaryEvidence();
     ReplicaProgress progress = new ReplicaProgress();
