Keep the burst with the owner of tokens and issue them on need

Callers saw: with 30 VMs and more, requests of customers inside their rates refused with RATE_EXCEEDED from the third second on.

Cause: each VM that a customer had visited kept at least one token of it and renewed it every 5 s, also without any request. The owner caps its bucket by the burst less all tokens outstanding, so with as many VMs as the burst has tokens the cap was 0 and what the rate earned was lost.

Tokens of the next 200 ms are issued in advance in the order of the requests, the rest is refused at once. Tokens that may be unused still count against the burst. A VM whose leader does not answer serves at its share, as without a lease; it has hardly any stock any more.

The wait for a token is the same on all routes (300 ms, at most half of the statement limit); before it was 160 ms on routes with a target of 800 ms and 200 ms on others, which favoured the latter.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/quota/TokenOwner.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/quota/TokenOwner.java
@@ -1,57 +1,96 @@
 package org.cowslipdale.core.quota;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.cowslipdale.core.view.RateLimit;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Issues the tokens of all customers; one instance acts for the whole fleet, on the control leader.
  *
- * <p>Every token is issued once, so all VMs together admit no more than rate and burst allow. A new
- * leader does not know what its predecessor issued and starts with what the rate has yielded since
- * the predecessor could last issue any. Issued tokens count against the burst until they are
- * reported as used or expire, so a stock of tokens on VMs cannot add to the burst. This class is
- * confined to one thread.
+ * <p>Every token is issued once, so all VMs together admit no more than rate and burst allow. The
+ * burst stays here: VMs fetch tokens for requests that wait, and tokens ahead of need up to half of
+ * the burst. If the bucket is empty, waiting requests are issued the next tokens that it will earn,
+ * in the order in which they are asked for, as long as they can wait for them.
+ *
+ * <p>A new leader does not know what its predecessor issued and starts with what the rate has
+ * yielded since the last time for which the predecessor could issue any. Issued tokens count
+ * against the burst while they may be unused. This class is confined to one thread.
  */
 public final class TokenOwner {
 
   /**
-   * How long a VM may use the tokens of a grant, counted from when it sent its request, in
+   * How long a VM may use tokens issued ahead of need, counted from when it sent its request, in
    * milliseconds. Longer than the loss of a leader is felt: election, first entry, first renewal.
    */
   public static final long GRANT_MILLIS = 5_000;
 
-  /** The leader's bound on a grant; longer by the bound on clock drift between two VMs. */
+  /** How long a VM waits for an answer, in milliseconds; later ones are not used. */
+  public static final long ANSWER_MILLIS = 300;
+
+  /** The leader's bound on {@link #GRANT_MILLIS}, by the bound on clock drift between two VMs. */
   private static final long GRANT_BOUND_MILLIS = 5_500;
 
+  /** The leader's bound on {@link #ANSWER_MILLIS}, by the same drift. */
+  private static final long ANSWER_BOUND_MILLIS = 330;
+
+  /**
+   * How long before they are earned tokens are issued at most, in milliseconds; leaves most of the
+   * targets of 800 ms and more to the request itself.
+   */
+  static final long LONGEST_DELAY_MILLIS = 200;
+
   /** A rate may rise at any time, so no VM is told to wait for longer, in milliseconds. */
   static final long LONGEST_RETRY_MILLIS = 250;
 
-  private final long formerOwnerEndMillis;
+  private final long emptyMillis;
   private final Map<String, Bucket> buckets = new HashMap<>();
 
   private static final class Bucket {
 
+    /** Negative while tokens are issued that are not earned yet. */
     private double tokens;
+
     private long refilledMillis;
-    private final Map<String, Stock> stocks = new HashMap<>();
+    private final Map<String, Outstanding> stocks = new HashMap<>();
+    private final List<Outstanding> underWay = new ArrayList<>();
 
     Bucket(long refilledMillis) {
       this.refilledMillis = refilledMillis;
     }
+
+    long stocked() {
+      return stocks.values().stream().mapToLong(Outstanding::tokens).sum();
+    }
+
+    void dropExpired(long now) {
+      stocks.values().removeIf(stock -> stock.expiresMillis() <= now);
+      underWay.removeIf(issued -> issued.expiresMillis() <= now);
+    }
+
+    void refill(RateLimit limit, long returned, long now) {
+      long issued = underWay.stream().mapToLong(Outstanding::tokens).sum();
+      double earned = (now - refilledMillis) * limit.ratePerSecond() / 1_000;
+      double cap = Math.max(0, limit.burst() - stocked() - issued);
+      tokens = Math.min(cap, tokens + earned + returned);
+      refilledMillis = now;
+    }
   }
 
-  /** The unused tokens of one VM. */
-  private record Stock(long tokens, long expiresMillis) {}
+  /** Issued tokens that may be unused. */
+  private record Outstanding(long tokens, long expiresMillis) {}
 
   /**
-   * An answer to a request for tokens.
+   * An answer to a VM.
    *
-   * @param tokens the tokens issued; may be 0
-   * @param retryMillis when it is worth to ask again, in milliseconds
+   * @param needed the tokens issued for requests that wait; requests beyond them cannot get one in
+   *     time
+   * @param delayMillis how long after the answer these may be used, in milliseconds
+   * @param ahead the tokens issued in addition, usable at once
+   * @param retryMillis when it is worth to ask for more tokens ahead of need, in milliseconds
    */
-  public record Grant(long tokens, long retryMillis) {}
+  public record Grant(long needed, long delayMillis, long ahead, long retryMillis) {}
 
   /**
    * Creates the owner on a new leader.
@@ -60,7 +99,7 @@
    *     monotonic clock
    */
   public TokenOwner(long formerOwnerEndMillis) {
-    this.formerOwnerEndMillis = formerOwnerEndMillis;
+    this.emptyMillis = formerOwnerEndMillis + LONGEST_DELAY_MILLIS;
   }
 
   /**
@@ -69,46 +108,37 @@
    * @param customer the customer
    * @param limit the customer's limits
    * @param vm the VM that asks
-   * @param unused the tokens that the VM still has from earlier grants
-   * @param wanted the tokens that the VM wants
-   * @param vms the number of VMs that share the burst
+   * @param demand what the VM has and wants
    * @param now the present time on the leader's monotonic clock, in milliseconds
    */
-  public Grant issue(
-      String customer, RateLimit limit, String vm, long unused, long wanted, int vms, long now) {
-    Bucket bucket = buckets.computeIfAbsent(customer, name -> new Bucket(formerOwnerEndMillis));
-    long kept = Math.min(unused, remaining(bucket.stocks.get(vm), now));
-    if (kept == 0) {
-      bucket.stocks.remove(vm);
-    } else {
-      bucket.stocks.put(vm, new Stock(kept, now + GRANT_BOUND_MILLIS));
+  public Grant issue(String customer, RateLimit limit, String vm, TokenDemand demand, long now) {
+    Bucket bucket = buckets.computeIfAbsent(customer, name -> new Bucket(emptyMillis));
+    bucket.dropExpired(now);
+    keep(bucket, vm, demand.unused(), now);
+    bucket.refill(limit, demand.returned(), now);
+    double ratePerMilli = limit.ratePerSecond() / 1_000;
+    long patience = Math.min(demand.patienceMillis(), LONGEST_DELAY_MILLIS);
+    double inTime = bucket.tokens + patience * ratePerMilli;
+    long needed = Math.clamp((long) Math.floor(inTime), 0, demand.needed());
+    bucket.tokens -= needed;
+    long delay = (long) Math.ceil(Math.max(0, -bucket.tokens) / ratePerMilli);
+    if (needed > 0) {
+      bucket.underWay.add(new Outstanding(needed, now + delay + ANSWER_BOUND_MILLIS));
     }
-    refill(bucket, limit, now);
-    long share = Math.max(1, limit.burst() / Math.max(1, vms));
-    long issued = Math.min(Math.min(wanted, share), (long) Math.floor(bucket.tokens));
-    if (issued <= 0) {
-      double missing = 1 - bucket.tokens;
-      long wait = (long) Math.ceil(missing * 1_000 / limit.ratePerSecond());
-      return new Grant(0, Math.clamp(wait, 1, LONGEST_RETRY_MILLIS));
-    }
-    bucket.tokens -= issued;
-    bucket.stocks.put(vm, new Stock(kept + issued, now + GRANT_BOUND_MILLIS));
-    return new Grant(issued, 0);
+    double spare = Math.min(bucket.tokens, limit.burst() / 2.0 - bucket.stocked());
+    long ahead = Math.clamp((long) Math.floor(spare), 0, demand.ahead());
+    bucket.tokens -= ahead;
+    keep(bucket, vm, demand.unused() + ahead, now);
+    long retry = (long) Math.ceil((1 - bucket.tokens) / ratePerMilli);
+    return new Grant(
+        needed, needed == 0 ? 0 : delay, ahead, Math.clamp(retry, 1, LONGEST_RETRY_MILLIS));
   }
 
-  private void refill(Bucket bucket, RateLimit limit, long now) {
-    long outstanding = 0;
-    bucket.stocks.values().removeIf(stock -> stock.expiresMillis() <= now);
-    for (Stock stock : bucket.stocks.values()) {
-      outstanding += stock.tokens();
+  private static void keep(Bucket bucket, String vm, long tokens, long now) {
+    if (tokens == 0) {
+      bucket.stocks.remove(vm);
+    } else {
+      bucket.stocks.put(vm, new Outstanding(tokens, now + GRANT_BOUND_MILLIS));
     }
-    double earned = (now - bucket.refilledMillis) * limit.ratePerSecond() / 1_000;
-    double cap = Math.max(0, limit.burst() - outstanding);
-    bucket.tokens = Math.min(cap, bucket.tokens + earned);
-    bucket.refilledMillis = now;
-  }
-
-  private static long remaining(@Nullable Stock stock, long now) {
-    return stock == null || stock.expiresMillis() <= now ? 0 : stock.tokens();
   }
 }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetRateLimiter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetRateLimiter.java
@@ -6,7 +6,9 @@
 import java.util.concurrent.ConcurrentMap;
 import org.cowslipdale.core.admission.Admission;
 import org.cowslipdale.core.admission.Ticket;
+import org.cowslipdale.core.control.LeaseTimings;
 import org.cowslipdale.core.quota.LocalShare;
+import org.cowslipdale.core.quota.TokenOwner;
 import org.cowslipdale.core.quota.TokenStock;
 import org.cowslipdale.core.result.RefusalException;
 import org.cowslipdale.core.result.ResultCode;
@@ -17,23 +19,34 @@
 import org.cowslipdale.daemon.request.RateLimiter;
 import org.cowslipdale.daemon.version.ViewHolder;
 import org.cowslipdale.daemon.version.VmClock;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Limits customers with tokens that the control leader issues for the whole fleet.
  *
  * <p>A VM without a lease gets no tokens. It first spends those that it holds, then serves at its
  * equal share of the rate, which the leader keeps for VMs that it has lost. Customers send less
- * than their rates allow, so the share that is kept is hardly missed.
+ * than their rates allow, so the share that is kept is hardly missed. A VM that gets no answer from
+ * a leader does the same.
  */
 final class FleetRateLimiter implements RateLimiter {
 
-  private static final long ANSWER_TIMEOUT_MILLIS = 300;
+  /** When a VM that does not lead is asked again, in milliseconds: a part of a change of leader. */
+  private static final long NO_OWNER_RETRY_MILLIS = 50;
+
+  /**
+   * How long requests are served at the local share without waiting for an owner that did not
+   * answer, in milliseconds.
+   */
+  private static final long OWNER_LOST_MILLIS = LeaseTimings.RENEWAL_MILLIS;
 
   private final ControlLink link;
   private final ViewHolder views;
   private final VmClock clock;
   private final ConcurrentMap<String, TokenStock<TicketFuture>> stocks = new ConcurrentHashMap<>();
   private final ConcurrentMap<String, LocalShare> shares = new ConcurrentHashMap<>();
+  private volatile long answeredMillis = Long.MIN_VALUE;
+  private volatile long ownerLostUntilMillis = Long.MIN_VALUE;
 
   FleetRateLimiter(ControlLink link, ViewHolder views, VmClock clock) {
     this.link = requireNonNull(link, "link");
@@ -57,15 +70,32 @@
       }
       return;
     }
+    long now = clock.millis();
+    if (now < ownerLostUntilMillis && (stock.tryTake(now) || tryLocally(customer, limit))) {
+      return;
+    }
     TicketFuture granted = new TicketFuture();
     Ticket<TicketFuture> ticket = new Ticket<>(customer, deadlineMillis, granted);
-    Admission admission = stock.offer(ticket, limit.ratePerSecond(), limit.burst(), clock.millis());
+    Admission admission = stock.offer(ticket, limit.ratePerSecond(), limit.burst(), now);
     askIfDue(customer, stock);
-    if (admission == Admission.REFUSED || (admission == Admission.QUEUED && !granted.await())) {
-      throw new RefusalException(holdsLease() ? ResultCode.RATE_EXCEEDED : ResultCode.NO_LEASE);
+    if (admission == Admission.REFUSED) {
+      throw new RefusalException(ResultCode.RATE_EXCEEDED);
+    }
+    if (admission == Admission.QUEUED && !granted.await()) {
+      acquireWithoutOwner(customer, limit, now);
     }
   }
 
+  /** Decides on a request that got no token: because of the rate, or since no owner answered. */
+  private void acquireWithoutOwner(String customer, RateLimit limit, long offeredMillis)
+      throws RefusalException {
+    if (answeredMillis >= offeredMillis) {
+      throw new RefusalException(ResultCode.RATE_EXCEEDED);
+    }
+    ownerLostUntilMillis = clock.millis() + OWNER_LOST_MILLIS;
+    acquireLocally(customer, limit);
+  }
+
   @Override
   public void giveBack(String customer) {
     TokenStock<TicketFuture> stock = stocks.get(customer);
@@ -74,14 +104,18 @@
     }
   }
 
-  private void acquireLocally(String identity, RateLimit limit) throws RefusalException {
-    int vms = Math.max(1, views.get().callerVms());
-    LocalShare share = shares.computeIfAbsent(identity, name -> new LocalShare());
-    if (!share.tryTake(limit.ratePerSecond() / vms, clock.millis())) {
+  private void acquireLocally(String customer, RateLimit limit) throws RefusalException {
+    if (!tryLocally(customer, limit)) {
       throw new RefusalException(ResultCode.RATE_EXCEEDED);
     }
   }
 
+  private boolean tryLocally(String customer, RateLimit limit) {
+    int vms = Math.max(1, views.get().callerVms());
+    LocalShare share = shares.computeIfAbsent(customer, name -> new LocalShare());
+    return share.tryTake(limit.ratePerSecond() / vms, clock.millis());
+  }
+
   private boolean holdsLease() {
     return views.get().lease().isValid(clock.millis());
   }
@@ -100,21 +134,30 @@
         .poll(clock.millis())
         .ifPresent(
             ask -> {
-              TokenRequest request = new TokenRequest(customer, ask.unused(), ask.wanted());
-              link.ask(link.leader(), request, ANSWER_TIMEOUT_MILLIS)
+              TokenRequest request = new TokenRequest(customer, ask.demand());
+              link.ask(link.leader(), request, TokenOwner.ANSWER_MILLIS)
                   .thenAccept(
                       reply -> {
                         if (reply instanceof TokenReply tokens) {
-                          answered(customer, stock, ask, tokens);
+                          answered(customer, stock, ask, tokens.grant());
                         }
                       });
             });
   }
 
   private void answered(
-      String customer, TokenStock<TicketFuture> stock, TokenStock.Ask ask, TokenReply reply) {
-    TicketFuture.wake(
-        stock.granted(reply.tokens(), reply.retryMillis(), ask.sentMillis(), clock.millis()));
+      String customer,
+      TokenStock<TicketFuture> stock,
+      TokenStock.Ask ask,
+      TokenOwner.@Nullable Grant grant) {
+    long now = clock.millis();
+    if (grant == null) {
+      stock.notAnswered(ask.sentMillis(), NO_OWNER_RETRY_MILLIS, now);
+      return;
+    }
+    answeredMillis = now;
+    ownerLostUntilMillis = now;
+    TicketFuture.wake(stock.granted(grant, ask.sentMillis(), now));
     askIfDue(customer, stock);
   }
 }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -17,6 +17,7 @@
 import org.cowslipdale.core.control.ControlState;
 import org.cowslipdale.core.failover.FailoverAction;
 import org.cowslipdale.core.failover.Promotion;
+import org.cowslipdale.core.quota.TokenDemand;
 import org.cowslipdale.core.quota.TokenOwner;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.view.RateLimit;
@@ -207,32 +208,23 @@
     Leadership current = leadership;
     Optional<RateLimit> limit = state.view().configuration().rateLimit(request.customer());
     if (failed || current == null || limit.isEmpty() || !node.holdsLeaderLease(now)) {
-      return new TokenReply(0, 50);
+      return new TokenReply(null);
     }
-    TokenOwner.Grant grant =
-        current
-            .tokens()
-            .issue(
-                request.customer(),
-                withoutReserve(limit.get(), from, current, now),
-                from,
-                request.unused(),
-                request.wanted(),
-                callerVms(current, state.view(), now),
-                now);
-    if (grant.tokens() == 0 && current.mayLogRefusal(request.customer(), now)) {
-      RateLimit issued = withoutReserve(limit.get(), from, current, now);
+    TokenDemand demand = request.demand();
+    RateLimit issued = withoutReserve(limit.get(), from, current, now);
+    TokenOwner.Grant grant = current.tokens().issue(request.customer(), issued, from, demand, now);
+    if (grant.needed() < demand.needed() && current.mayLogRefusal(request.customer(), now)) {
       DecisionLog.line(LogEvent.TOKENS_REFUSED)
           .with("customer", request.customer())
           .with("vm", from)
           .with("rate", limit.get().ratePerSecond())
           .with("burst", limit.get().burst())
           .with("rate_issued", issued.ratePerSecond())
-          .with("wanted", request.wanted())
-          .with("retry_ms", grant.retryMillis())
+          .with("needed", demand.needed())
+          .with("issued", grant.needed())
           .write();
     }
-    return new TokenReply(grant.tokens(), grant.retryMillis());
+    return new TokenReply(grant);
   }
 
   /** Keeps the shares of VMs that have lost the leader and serve customers at an equal share. */
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerMessage.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerMessage.java
@@ -6,6 +6,8 @@
 import org.cowslipdale.core.consensus.ConsensusMessage;
 import org.cowslipdale.core.control.ChangeRecord;
 import org.cowslipdale.core.failover.ProbeReport;
+import org.cowslipdale.core.quota.TokenDemand;
+import org.cowslipdale.core.quota.TokenOwner;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.view.DeclaredDocument;
 import org.cowslipdale.core.view.View;
@@ -103,21 +105,19 @@
   record RelayedAnnouncement(Announcement announcement, long ageMillis) {}
 
   /**
-   * Asks the control leader for tokens of a customer.
+   * Asks the control leader for tokens of a customer, or gives some back.
    *
    * @param customer the customer
-   * @param unused the tokens in stock
-   * @param wanted the tokens wanted
+   * @param demand what the VM has and wants
    */
-  record TokenRequest(String customer, long unused, long wanted) implements PeerMessage {}
+  record TokenRequest(String customer, TokenDemand demand) implements PeerMessage {}
 
   /**
    * Answers a request for tokens.
    *
-   * @param tokens the tokens issued
-   * @param retryMillis when it is worth to ask again, in milliseconds
+   * @param grant the tokens issued, or null if the VM does not lead
    */
-  record TokenReply(long tokens, long retryMillis) implements PeerMessage {}
+  record TokenReply(TokenOwner.@Nullable Grant grant) implements PeerMessage {}
 
   /**
    * Claims a request id.
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionGate.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionGate.java
@@ -27,17 +27,14 @@
   private static final String NO_CUSTOMER = "-";
 
   /**
-   * A token that does not come within this part of the target time is not expected: the customer is
-   * over its rate, and an early refusal lets it slow down.
+   * The longest wait for a token, in milliseconds. It does not depend on the target of the route,
+   * so requests of a customer over its rate have the same chance on all its routes. A request that
+   * can get none in time is refused sooner, after a round trip to the control leader.
    */
-  private static final long TOKEN_WAIT_DIVISOR = 5;
+  private static final long TOKEN_WAIT_MILLIS = 300;
 
-  /**
-   * The longest wait for a token, in milliseconds. Requests of a customer over its rate then have
-   * the same chance on all its routes; with waits by the targets alone, the routes with short ones
-   * are refused first.
-   */
-  private static final long TOKEN_WAIT_MILLIS = 200;
+  /** At most this part of the statement limit is spent on the wait for a token. */
+  private static final long TOKEN_WAIT_DIVISOR = 2;
 
   /** How long the opening of a session waits for the VM's first view, in milliseconds. */
   private static final long OPEN_WAIT_MILLIS = 1_500;
@@ -99,9 +96,8 @@
       throws RefusalException {
     Operation operation = authorize(routeName, key);
     if (!operation.customer().equals(NO_CUSTOMER)) {
-      SessionRoute route = operation.route();
-      long limit = Math.min(route.statementLimitMillis(), TOKEN_WAIT_MILLIS);
-      long wait = Math.min(limit, route.targetMillis() / TOKEN_WAIT_DIVISOR);
+      long share = operation.route().statementLimitMillis() / TOKEN_WAIT_DIVISOR;
+      long wait = Math.min(share, TOKEN_WAIT_MILLIS);
       limiter.acquire(operation.customer(), receivedMillis + wait);
     }
     return operation;
--- a/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/capacity/CapacityMain.java
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/capacity/CapacityMain.java
@@ -23,6 +23,7 @@
 import org.cowslipdale.core.failover.FailoverCoordinator;
 import org.cowslipdale.core.failover.ProbeAssignment;
 import org.cowslipdale.core.placement.Placement;
+import org.cowslipdale.core.quota.TokenDemand;
 import org.cowslipdale.core.quota.TokenOwner;
 import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.view.ApiKey;
@@ -46,6 +47,7 @@
   private static final int DATABASES_AT_FULL_SIZE = 8_200;
   private static final int SERVERS_PER_DATABASE = 3;
   private static final int FAILURE_DOMAINS = 5;
+  private static final List<Integer> FLEETS = List.of(9, 30, 100, 300);
 
   private CapacityMain() {}
 
@@ -156,6 +158,30 @@
         80_000,
         CapacityMain::claims,
         CapacityMain::claimHeapBytes);
+    printTokens();
+  }
+
+  /** Prints what one customer inside its rate costs the leader, and what it is refused. */
+  private static void printTokens() {
+    System.out.printf(
+        "%n%-44s %8s %10s %12s %10s%n",
+        "tokens of a customer at %.0f/s of %.0f/s"
+            .formatted(TokenTraffic.REQUESTS_PER_SECOND, TokenTraffic.LIMIT.ratePerSecond()),
+        "VMs",
+        "refused %",
+        "messages/s",
+        "bytes/s");
+    for (int vms : FLEETS) {
+      printTokens("three sessions", vms, 3);
+      printTokens("sessions on all VMs", vms, 4 * vms);
+    }
+  }
+
+  private static void printTokens(String name, int vms, int sessions) {
+    TokenTraffic.Counts counts = TokenTraffic.play(vms, sessions);
+    System.out.printf(
+        "%-44s %8d %10.2f %12.1f %10.0f%n",
+        name, vms, counts.refusedPercent(), counts.messagesPerSecond(), counts.bytesPerSecond());
   }
 
   private static <T> void run(
@@ -302,14 +328,15 @@
     TokenOwner owner = new TokenOwner(0);
     RateLimit limit = new RateLimit(100, 100);
     for (int i = 0; i < count; i++) {
-      owner.issue("customer-" + i, limit, "vm1", 0, 1, 6, NOW);
+      owner.issue("customer-" + i, limit, "vm1", new TokenDemand(0, 0, 1, 0, 0), NOW);
     }
     return owner;
   }
 
   private static double issueMicros(TokenOwner owner) {
     RateLimit limit = new RateLimit(1_000_000, 1_000_000);
-    return Measure.micros(() -> owner.issue("customer-7", limit, "vm2", 0, 10, 6, NOW));
+    TokenDemand demand = new TokenDemand(0, 0, 0, 10, 0);
+    return Measure.micros(() -> owner.issue("customer-7", limit, "vm2", demand, NOW));
   }
 
   private static BackendRegistry registry(int count) {
