--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
@@ -76,10 +76,16 @@
   @Test
   void aLeaseIsNotGivenBackByARequestThatWasSentBeforeIt() {
     LeaseRequest release =
-        new LeaseRequest(1, List.of(), List.of(), clock.millis(), true, PositionReport.NONE);
+        new LeaseRequest(1, List.of(), List.of(), clock.millis(), true, PositionReport.NONE, null);
     LeaseRequest renewal =
         new LeaseRequest(
-            1, List.of(), List.of(), release.sentMillis() + 1_000, false, PositionReport.NONE);
+            1,
+            List.of(),
+            List.of(),
+            release.sentMillis() + 1_000,
+            false,
+            PositionReport.NONE,
+            null);
 
     assertThat(voter.lease(OTHER, renewal).granted(), is(true));
     voter.lease(OTHER, release);
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
@@ -18,8 +18,8 @@
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.backend.ServerRole;
 import org.cowslipdale.core.failover.PrimaryEvidence;
-import org.cowslipdale.core.result.Outcome;
 import org.cowslipdale.core.permit.HeldPermits;
+import org.cowslipdale.core.result.Outcome;
 import org.cowslipdale.core.result.RefusalException;
 import org.cowslipdale.core.routing.FleetPositions;
 import org.cowslipdale.core.routing.ReplicaProgress;
@@ -163,7 +163,7 @@
     assertThat(servers.runs(), not(hasItem("bonds-1 read-1")));
   }
 
-  /** Incident inc1: the position asked for was recent when the read was routed, not when sent. */
+  /** The position asked for was recent when the read was routed, not when it was sent. */
   @Test
   void aReadIsNotSentWithAPositionThatAgedWhileItsConnectionOpened() throws Exception {
     leaseFor(300);
