--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/quota/OwnerContact.java
@@ -0,0 +1,55 @@
+package org.cowslipdale.core.quota;
+
+import org.cowslipdale.core.control.LeaseTimings;
+
+/**
+ * Whether the owner of the tokens answers a VM. While it does not, the VM serves customers at its
+ * share of their rates, and tries the owner again from time to time.
+ *
+ * <p>This class is safe for use by several threads.
+ */
+public final class OwnerContact {
+
+  /** How long the VM does without an owner that did not answer, in milliseconds: a renewal. */
+  private static final long LOST_MILLIS = LeaseTimings.RENEWAL_MILLIS;
+
+  /** Longer than a round trip between regions, in milliseconds. */
+  private static final long SILENCE_MILLIS = 200;
+
+  private long answeredMillis = Long.MIN_VALUE;
+  private long lostUntilMillis = Long.MIN_VALUE;
+
+  /**
+   * Tells whether requests should not wait for the owner.
+   *
+   * @param now the present time on the VM's monotonic clock, in milliseconds
+   */
+  public synchronized boolean isLost(long now) {
+    return now < lostUntilMillis;
+  }
+
+  /**
+   * Takes in an answer of the owner.
+   *
+   * @param now the present time on the VM's monotonic clock, in milliseconds
+   */
+  public synchronized void answered(long now) {
+    answeredMillis = now;
+    lostUntilMillis = now;
+  }
+
+  /**
+   * Takes in that a request got no token, and tells whether that is because the owner does not
+   * answer.
+   *
+   * @param offeredMillis since when the request waited, on the VM's monotonic clock
+   * @param now the present time on the VM's monotonic clock, in milliseconds
+   */
+  public synchronized boolean missed(long offeredMillis, long now) {
+    boolean silent = answeredMillis < offeredMillis && now >= offeredMillis + SILENCE_MILLIS;
+    if (silent) {
+      lostUntilMillis = now + LOST_MILLIS;
+    }
+    return silent;
+  }
+}
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetRateLimiter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetRateLimiter.java
@@ -6,8 +6,8 @@
 import java.util.concurrent.ConcurrentMap;
 import org.cowslipdale.core.admission.Admission;
 import org.cowslipdale.core.admission.Ticket;
-import org.cowslipdale.core.control.LeaseTimings;
 import org.cowslipdale.core.quota.LocalShare;
+import org.cowslipdale.core.quota.OwnerContact;
 import org.cowslipdale.core.quota.TokenOwner;
 import org.cowslipdale.core.quota.TokenStock;
 import org.cowslipdale.core.result.RefusalException;
@@ -34,19 +34,12 @@
   /** When a VM that does not lead is asked again, in milliseconds: a part of a change of leader. */
   private static final long NO_OWNER_RETRY_MILLIS = 50;
 
-  /**
-   * How long requests are served at the local share without waiting for an owner that did not
-   * answer, in milliseconds.
-   */
-  private static final long OWNER_LOST_MILLIS = LeaseTimings.RENEWAL_MILLIS;
-
   private final ControlLink link;
   private final ViewHolder views;
   private final VmClock clock;
   private final ConcurrentMap<String, TokenStock<TicketFuture>> stocks = new ConcurrentHashMap<>();
   private final ConcurrentMap<String, LocalShare> shares = new ConcurrentHashMap<>();
-  private volatile long answeredMillis = Long.MIN_VALUE;
-  private volatile long ownerLostUntilMillis = Long.MIN_VALUE;
+  private final OwnerContact owner = new OwnerContact();
 
   FleetRateLimiter(ControlLink link, ViewHolder views, VmClock clock) {
     this.link = requireNonNull(link, "link");
@@ -70,30 +63,23 @@
       }
       return;
     }
-    long now = clock.millis();
-    if (now < ownerLostUntilMillis && (stock.tryTake(now) || tryLocally(customer, limit))) {
+    long offered = clock.millis();
+    if (owner.isLost(offered) && (stock.tryTake(offered) || tryLocally(customer, limit))) {
       return;
     }
     TicketFuture granted = new TicketFuture();
     Ticket<TicketFuture> ticket = new Ticket<>(customer, deadlineMillis, granted);
-    Admission admission = stock.offer(ticket, limit.ratePerSecond(), limit.burst(), now);
+    Admission admission = stock.offer(ticket, limit.ratePerSecond(), limit.burst(), offered);
     askIfDue(customer, stock);
     if (admission == Admission.REFUSED) {
       throw new RefusalException(ResultCode.RATE_EXCEEDED);
     }
     if (admission == Admission.QUEUED && !granted.await()) {
-      acquireWithoutOwner(customer, limit, now);
-    }
-  }
-
-  /** Decides on a request that got no token: because of the rate, or since no owner answered. */
-  private void acquireWithoutOwner(String customer, RateLimit limit, long offeredMillis)
-      throws RefusalException {
-    if (answeredMillis >= offeredMillis) {
-      throw new RefusalException(ResultCode.RATE_EXCEEDED);
+      if (!owner.missed(offered, clock.millis())) {
+        throw new RefusalException(ResultCode.RATE_EXCEEDED);
+      }
+      acquireLocally(customer, limit);
     }
-    ownerLostUntilMillis = clock.millis() + OWNER_LOST_MILLIS;
-    acquireLocally(customer, limit);
   }
 
   @Override
@@ -155,8 +141,7 @@
       stock.notAnswered(ask.sentMillis(), NO_OWNER_RETRY_MILLIS, now);
       return;
     }
-    answeredMillis = now;
-    ownerLostUntilMillis = now;
+    owner.answered(now);
     TicketFuture.wake(stock.granted(grant, ask.sentMillis(), now));
     askIfDue(customer, stock);
   }
