State also that a VM holds no permits, so that the leader lends to others at once

A VM that had not used a server yet stated nothing, and the leader counted four connections for it at every server; twenty such VMs would have kept all 80 of a server from the others. Found by reading; the new test of a VM with connections of its share guards the other side: it still counts in full.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/permit/HeldPermits.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/permit/HeldPermits.java
@@ -66,6 +66,12 @@
     return scarce.contains(server);
   }
 
+  /** Tells whether all connections of the VM are covered by permits, so that it can state them. */
+  public synchronized boolean coverAll() {
+    return used.entrySet().stream()
+        .allMatch(entry -> entry.getValue() == 0 || scarce.contains(entry.getKey()));
+  }
+
   /** Returns the servers to which connections need permits. */
   public synchronized Set<String> scarce() {
     return Set.copyOf(scarce);
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/permit/PermitOwner.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/permit/PermitOwner.java
@@ -76,6 +76,15 @@
     }
   }
 
+  /**
+   * Takes in that a VM has connections that its permits do not cover.
+   *
+   * @param vm the name of the VM
+   */
+  public void notStated(String vm) {
+    holders.remove(vm);
+  }
+
   private static Holder successor(@Nullable Holder before, PermitStatement statement, long now) {
     Holder next = new Holder(statement.incarnation());
     if (before != null) {
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/permit/PermitTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/permit/PermitTests.java
@@ -270,11 +270,13 @@
     HeldPermits permits = new HeldPermits(1);
     assertThat(permits.use(SERVER, 2), is(true));
     assertThat(permits.use(SERVER, 1), is(false));
+    assertThat(permits.coverAll(), is(false));
     assertThat(permits.use(SERVER, 0), is(false));
+    assertThat(permits.coverAll(), is(true));
     assertThat(permits.statement("control-1").held(), is(Map.of(SERVER, 1)));
 
     permits.closed(SERVER);
-    assertThat("the share is back", permits.use(SERVER, 2), is(true));
+    assertThat("permits are needed for good", permits.use(SERVER, 2), is(true));
     assertThat(permits.use(SERVER, 2), is(false));
   }
 
@@ -289,6 +291,17 @@
     assertThat(lends(ask, users, 0), is(true));
   }
 
+  @Test
+  void aVmWithConnectionsOfItsShareCountsInFull() {
+    Set<String> users = Set.of("vm1", "vm2");
+    owner.stated("vm1", new PermitStatement(1, 0, Map.of()), 0);
+    owner.stated("vm2", new PermitStatement(1, 0, Map.of()), 0);
+    owner.notStated("vm2");
+
+    PermitAsk ask = new PermitAsk(1, 1, SERVER, PermitOwner.MOST_PER_VM);
+    assertThat(lends(ask, users, 0), is(false));
+  }
+
   @Test
   void anAskThatTheVmGaveUpIsNotLentAndALostAnswerIsTakenBack() {
     HeldPermits permits = new HeldPermits(9);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetPermits.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetPermits.java
@@ -78,9 +78,9 @@
     }
   }
 
-  /** Returns what the control leader should know, or null if no server is short. */
+  /** Returns what the control leader should know, or null if some connections need no permits. */
   @Nullable PermitStatement statement(String leader) {
-    return permits.scarce().isEmpty() ? null : permits.statement(leader);
+    return permits.coverAll() ? permits.statement(leader) : null;
   }
 
   /** Gives the permits of a server back that can be done without. */
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -171,6 +171,8 @@
     current.failover().report(from, request.reports(), request.reached());
     if (request.permits() != null) {
       permitsHeld(from, request.permits());
+    } else {
+      current.permits().notStated(from);
     }
     if (request.positions() != null) {
       current.positions().reported(request.positions());
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerMessage.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerMessage.java
@@ -44,7 +44,7 @@
    * @param sentMillis when it was sent, on the VM's monotonic clock
    * @param release whether the VM gives its lease back because it stops
    * @param positions the positions that primaries stated to the VM
-   * @param permits the connections to servers that the VM holds, if any server is short of them
+   * @param permits the connections to servers that the VM may have; null if it has others, too
    */
   record LeaseRequest(
       long version,
