--- a/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/capacity/CapacityMain.java
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/capacity/CapacityMain.java
@@ -156,6 +156,7 @@
         80_000,
         CapacityMain::claims,
         CapacityMain::claimHeapBytes);
+    FleetLoad.print();
   }
 
   private static <T> void run(
