--- a/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/capacity/CapacityMain.java
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/capacity/CapacityMain.java
@@ -159,6 +159,7 @@
         CapacityMain::claims,
         CapacityMain::claimHeapBytes);
     printTokens();
+    FleetLoad.print();
   }
 
   /** Prints what one customer inside its rate costs the leader, and what it is refused. */
