--- a/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/fleet/ChildProcess.java
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/fleet/ChildProcess.java
@@ -18,7 +18,13 @@
   private final Path log;
   private @Nullable Process process;
 
-  ChildProcess(List<String> command, Path log) {
+  /**
+   * Prepares a process.
+   *
+   * @param command the command and its arguments
+   * @param log the file to which its output is appended
+   */
+  public ChildProcess(List<String> command, Path log) {
     this.command = List.copyOf(command);
     this.log = log;
   }
--- a/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/network/FaultLink.java
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/network/FaultLink.java
@@ -1,7 +1,9 @@
 package org.cowslipdale.testsupport.network;
 
+import io.netty.channel.ChannelOption;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
@@ -68,6 +70,11 @@
     pairs.forEach(pair -> pair.silent = true);
   }
 
+  /** Resets every open connection at both ends; what is under way is lost. */
+  public void resetOpenConnections() {
+    pairs.forEach(Pair::reset);
+  }
+
   @Override
   public void close() {
     server.close();
@@ -116,6 +123,21 @@
       backend.close();
     }
 
+    void reset() {
+      reset(opener);
+      reset(backend);
+    }
+
+    /** A socket that does not linger is closed with a reset. */
+    private static void reset(NetSocket socket) {
+      ((NetSocketInternal) socket)
+          .channelHandlerContext()
+          .channel()
+          .config()
+          .setOption(ChannelOption.SO_LINGER, 0);
+      socket.close();
+    }
+
     private void ended(NetSocket other) {
       pairs.remove(this);
       LinkCondition current = condition;
--- a/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/network/FaultNetwork.java
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/network/FaultNetwork.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /** The links between failure domains: one for each pair of a domain and an address outside it. */
 public final class FaultNetwork implements AutoCloseable {
@@ -48,10 +49,21 @@
    * @param condition the condition
    */
   public void from(String from, String to, LinkCondition condition) {
+    each(from, to, link -> link.set(condition));
+  }
+
+  /**
+   * Does something to the links that one failure domain opens to another one.
+   *
+   * @param from the failure domain of the opening side
+   * @param to the other failure domain
+   * @param action what to do to each link
+   */
+  public void each(String from, String to, Consumer<FaultLink> action) {
     links.forEach(
         (route, link) -> {
           if (route.from().equals(from) && route.to().equals(to)) {
-            link.set(condition);
+            action.accept(link);
           }
         });
   }
