--- a/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/network/FaultLink.java
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/network/FaultLink.java
@@ -1,5 +1,6 @@
 package org.cowslipdale.testsupport.network;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -130,12 +131,15 @@
 
     /** A socket that does not linger is closed with a reset. */
     private static void reset(NetSocket socket) {
-      ((NetSocketInternal) socket)
-          .channelHandlerContext()
-          .channel()
-          .config()
-          .setOption(ChannelOption.SO_LINGER, 0);
-      socket.close();
+      Channel channel = ((NetSocketInternal) socket).channelHandlerContext().channel();
+      channel.eventLoop().execute(() -> resetInLoop(channel));
+    }
+
+    private static void resetInLoop(Channel channel) {
+      if (channel.isOpen()) {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        channel.close();
+      }
     }
 
     private void ended(NetSocket other) {
