--- a/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/network/FaultLink.java
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/network/FaultLink.java
@@ -1,7 +1,10 @@
 package org.cowslipdale.testsupport.network;
 
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
@@ -68,6 +71,11 @@
     pairs.forEach(pair -> pair.silent = true);
   }
 
+  /** Resets every open connection at both ends; what is under way is lost. */
+  public void resetOpenConnections() {
+    pairs.forEach(Pair::reset);
+  }
+
   @Override
   public void close() {
     server.close();
@@ -116,6 +124,24 @@
       backend.close();
     }
 
+    void reset() {
+      reset(opener);
+      reset(backend);
+    }
+
+    /** A socket that does not linger is closed with a reset. */
+    private static void reset(NetSocket socket) {
+      Channel channel = ((NetSocketInternal) socket).channelHandlerContext().channel();
+      channel.eventLoop().execute(() -> resetInLoop(channel));
+    }
+
+    private static void resetInLoop(Channel channel) {
+      if (channel.isOpen()) {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        channel.close();
+      }
+    }
+
     private void ended(NetSocket other) {
       pairs.remove(this);
       LinkCondition current = condition;
