Revert "Read Netty's files before event loops run"

Tried against the processes that end by themselves: SIGILL in libc's read while Netty reads a file, one end in 1,331 starts. Not kept without a shown effect.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
@@ -6,7 +6,6 @@
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
-import io.netty.util.NetUtil;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import java.nio.file.Path;
@@ -129,19 +128,9 @@
             .setWorkerPoolSize(WORKER_THREADS)
             .setInternalBlockingPoolSize(WORKER_THREADS);
     options.getFileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false);
-    readNetworkSettings();
     return Vertx.vertx(options);
   }
 
-  /**
-   * Makes Netty read the files of the system and the runtime that it needs.
-   *
-   * <p>Otherwise it reads them while the first event loop already runs.
-   */
-  private static void readNetworkSettings() {
-    LOG.debug("sockets may wait for accept in a queue of {}", NetUtil.SOMAXCONN);
-  }
-
   /**
    * Binds all addresses and starts to serve.
    *
