Keep the send time of a request in its entry of the lease table

The check for a return of a lease that was sent before the grant stood beside the table, as a second map and two methods that every caller had to combine. grant and release now take the send time, and release ignores an older request itself. Behaviour is unchanged; the tests pass a send time, keep their assertions, and one case is added.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/control/LeaseTable.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/control/LeaseTable.java
@@ -19,9 +19,9 @@
 
   private final long electedMillis;
   private final Map<String, Entry> entries = new HashMap<>();
-  private final Map<String, Long> grantedSentMillis = new HashMap<>();
 
-  private record Entry(long confirmedVersion, long leaseBoundMillis) {}
+  /** What the latest request of a VM led to; the VM sent it at {@code sentMillis} on its clock. */
+  private record Entry(long confirmedVersion, long leaseBoundMillis, long sentMillis) {}
 
   /**
    * Creates the table of a new leader.
@@ -37,41 +37,26 @@
    *
    * @param vm the name of the VM
    * @param confirmedVersion the version of the view that the VM acts on
+   * @param sentMillis when the VM sent its request, on the VM's monotonic clock
    * @param now the present time on the leader's monotonic clock, in milliseconds
    */
-  public void grant(String vm, long confirmedVersion, long now) {
-    entries.put(vm, new Entry(confirmedVersion, now + LeaseTimings.LEASE_BOUND_MILLIS));
+  public void grant(String vm, long confirmedVersion, long sentMillis, long now) {
+    entries.put(vm, new Entry(confirmedVersion, now + LeaseTimings.LEASE_BOUND_MILLIS, sentMillis));
   }
 
   /**
-   * Records which request of a VM was granted.
-   *
-   * @param vm the name of the VM
-   * @param sentMillis when the VM sent it, on the VM's monotonic clock
-   */
-  public void grantedTo(String vm, long sentMillis) {
-    grantedSentMillis.put(vm, sentMillis);
-  }
-
-  /**
-   * Tells whether a request of a VM is older than the one that was granted last, because the
-   * network held it back.
-   *
-   * @param vm the name of the VM
-   * @param sentMillis when the VM sent it, on the VM's monotonic clock
-   */
-  public boolean isOutdated(String vm, long sentMillis) {
-    return sentMillis < grantedSentMillis.getOrDefault(vm, Long.MIN_VALUE);
-  }
-
-  /**
-   * Records that a VM gave its lease back and serves nothing any more.
+   * Records that a VM gave its lease back and serves nothing any more; ignored if the network held
+   * the request back until a later one of the VM was granted.
    *
    * @param vm the name of the VM
+   * @param sentMillis when the VM sent its request, on the VM's monotonic clock
    * @param now the present time on the leader's monotonic clock, in milliseconds
    */
-  public void release(String vm, long now) {
-    entries.put(vm, new Entry(0, now - LeaseTimings.KEY_GRACE_BOUND_MILLIS));
+  public void release(String vm, long sentMillis, long now) {
+    Entry entry = entries.get(vm);
+    if (entry == null || sentMillis >= entry.sentMillis()) {
+      entries.put(vm, new Entry(0, now - LeaseTimings.KEY_GRACE_BOUND_MILLIS, sentMillis));
+    }
   }
 
   /**
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/control/LeaseTableTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/control/LeaseTableTests.java
@@ -15,6 +15,9 @@
   private static final long ELECTED = 10_000;
   private static final long BOUND = LeaseTimings.LEASE_BOUND_MILLIS;
 
+  /** A time on the clock of a VM. */
+  private static final long SENT = 7_000;
+
   private final LeaseTable table = new LeaseTable(ELECTED);
   private final View view = viewOf("vm1", "vm2");
 
@@ -26,18 +29,18 @@
 
   @Test
   void isInForceOnceEveryVmHasConfirmed() {
-    table.grant("vm1", 5, ELECTED + 100);
-    table.grant("vm2", 4, ELECTED + 100);
+    table.grant("vm1", 5, SENT, ELECTED + 100);
+    table.grant("vm2", 4, SENT, ELECTED + 100);
     assertThat(table.waitingFor(5, view, 0, ELECTED + 200), contains("vm2"));
 
-    table.grant("vm2", 5, ELECTED + 300);
+    table.grant("vm2", 5, SENT, ELECTED + 300);
     assertThat(table.waitingFor(5, view, 0, ELECTED + 301), empty());
   }
 
   @Test
   void isInForceOnceTheLeaseOfASilentVmHasEnded() {
-    table.grant("vm1", 5, ELECTED + 100);
-    table.grant("vm2", 4, ELECTED + 100);
+    table.grant("vm1", 5, SENT, ELECTED + 100);
+    table.grant("vm2", 4, SENT, ELECTED + 100);
 
     assertThat(table.waitingFor(5, view, 0, ELECTED + 100 + BOUND - 1), contains("vm2"));
     assertThat(table.waitingFor(5, view, 0, ELECTED + 100 + BOUND), empty());
@@ -45,8 +48,8 @@
 
   @Test
   void waitsForTheKeyGraceWhenKeysAreMeant() {
-    table.grant("vm1", 4, ELECTED + 100);
-    table.grant("vm2", 5, ELECTED + 100);
+    table.grant("vm1", 4, SENT, ELECTED + 100);
+    table.grant("vm2", 5, SENT, ELECTED + 100);
     long grace = LeaseTimings.KEY_GRACE_BOUND_MILLIS;
 
     assertThat(
@@ -57,7 +60,7 @@
   @Test
   void keepsTheShareOfAVmThatIsOverdueUntilItServesNothingMore() {
     long granted = ELECTED + 100;
-    table.grant("vm1", 5, granted);
+    table.grant("vm1", 5, SENT, granted);
 
     assertThat(table.mayServeWithoutLease("vm1", granted + 600), is(false));
     assertThat(table.mayServeWithoutLease("vm1", granted + 1_500), is(true));
@@ -68,18 +71,27 @@
 
   @Test
   void doesNotWaitForAVmThatGaveItsLeaseBack() {
-    table.grant("vm1", 5, ELECTED + 100);
-    table.grant("vm2", 4, ELECTED + 100);
-    table.release("vm2", ELECTED + 200);
+    table.grant("vm1", 5, SENT, ELECTED + 100);
+    table.grant("vm2", 4, SENT, ELECTED + 100);
+    table.release("vm2", SENT + 100, ELECTED + 200);
 
     assertThat(
         table.waitingFor(5, view, LeaseTimings.KEY_GRACE_BOUND_MILLIS, ELECTED + 201), empty());
   }
 
+  @Test
+  void ignoresAReturnThatWasSentBeforeTheLeaseWasAskedFor() {
+    table.grant("vm1", 5, SENT, ELECTED + 100);
+    table.grant("vm2", 4, SENT, ELECTED + 100);
+    table.release("vm2", SENT - 1, ELECTED + 200);
+
+    assertThat(table.waitingFor(5, view, 0, ELECTED + 201), contains("vm2"));
+  }
+
   @Test
   void waitsForARemovedVmWhoseLeaseIsStillValid() {
-    table.grant("vm1", 5, ELECTED + 100);
-    table.grant("vm2", 4, ELECTED + 100);
+    table.grant("vm1", 5, SENT, ELECTED + 100);
+    table.grant("vm2", 4, SENT, ELECTED + 100);
     View removed = view.apply(new ViewCommand.RemoveVm("r", 0, "vm2")).view();
 
     assertThat(removed.activeVms().size(), is(1));
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -166,9 +166,7 @@
     VmRecord record = view.vms().get(from);
     boolean registered = record != null && record.active();
     if (request.release()) {
-      if (!current.leases().isOutdated(from, request.sentMillis())) {
-        current.leases().release(from, now);
-      }
+      current.leases().release(from, request.sentMillis(), now);
       return refusal(request);
     }
     current.failover().report(from, request.reports(), request.reached());
@@ -181,8 +179,7 @@
       current.positions().reported(request.positions());
     }
     if (registered) {
-      current.leases().grant(from, request.version(), now);
-      current.leases().grantedTo(from, request.sentMillis());
+      current.leases().grant(from, request.version(), request.sentMillis(), now);
     }
     Optional<List<ViewCommand>> commands = viewLog.after(request.version());
     return new LeaseReply(
--- a/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/capacity/CapacityMain.java
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/capacity/CapacityMain.java
@@ -304,7 +304,7 @@
   private static Leases leases(int count) {
     View view = vms(count);
     LeaseTable table = new LeaseTable(NOW);
-    view.vms().keySet().forEach(name -> table.grant(name, 1, NOW));
+    view.vms().keySet().forEach(name -> table.grant(name, 1, NOW, NOW));
     return new Leases(view, table);
   }
 
