--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
@@ -132,10 +132,7 @@
     if (term != ownTerm || step != Step.PROMOTING || !server.equals(chosen)) {
       return Optional.empty();
     }
-    enter(Step.COMPLETING, now);
-    return Optional.of(
-        new FailoverAction.Propose(
-            new ViewCommand.CompleteTerm(database, term, server, startOffset)));
+    return Optional.of(complete(server, startOffset, now));
   }
 
   /** Takes in the answer of the outside service. */
@@ -257,9 +254,13 @@
       promote(primary, situation, actions);
       return;
     }
-    enter(Step.COMPLETING, situation.now());
-    actions.add(
-        new FailoverAction.Propose(new ViewCommand.CompleteTerm(database, ownTerm, primary, 0)));
+    actions.add(complete(primary, 0, situation.now()));
+  }
+
+  private FailoverAction complete(String primary, long startOffset, long now) {
+    enter(Step.COMPLETING, now);
+    return new FailoverAction.Propose(
+        new ViewCommand.CompleteTerm(database, ownTerm, primary, startOffset));
   }
 
   /** Returns the primary that a group of an outside service had before this fleet knew it. */
@@ -425,9 +426,7 @@
             .isPresent();
     if (accepted && leads) {
       refused.clear();
-      enter(Step.COMPLETING, situation.now());
-      actions.add(
-          new FailoverAction.Propose(new ViewCommand.CompleteTerm(database, ownTerm, server, 0)));
+      actions.add(complete(server, 0, situation.now()));
     } else if (situation.now() - stepMillis >= SERVICE_TIMEOUT_MILLIS) {
       restart(situation.now());
     } else if (!accepted && situation.now() - askedServiceMillis >= SERVICE_RETRY_MILLIS) {
