--- a/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/fleet/Fleet.java
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/fleet/Fleet.java
@@ -160,10 +160,18 @@
 
   /** Tells whether a VM reports that it is ready. */
   public boolean isReady(Vm vm) {
+    return isOk(client, "http://" + vm.admin() + "/health/ready");
+  }
+
+  /**
+   * Tells whether a request for a page is answered with success within a second.
+   *
+   * @param client sends the request
+   * @param url the address of the page
+   */
+  public static boolean isOk(HttpClient client, String url) {
     HttpRequest request =
-        HttpRequest.newBuilder(URI.create("http://" + vm.admin() + "/health/ready"))
-            .timeout(Duration.ofSeconds(1))
-            .build();
+        HttpRequest.newBuilder(URI.create(url)).timeout(Duration.ofSeconds(1)).build();
     try {
       return client.send(request, BodyHandlers.discarding()).statusCode() == 200;
     } catch (IOException e) {
