Do not wait for a task that a closed control thread dropped

Cause: runAndWait passed its task to execute, which drops it after close, and then waited without a limit for its end, so a second stop of a component could hang the process. Change: runAndWait returns at once if the thread does not take the task.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlThread.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlThread.java
@@ -26,11 +26,7 @@
 
   @Override
   public void execute(Runnable task) {
-    try {
-      executor.execute(() -> runAndLogFailure(task));
-    } catch (RejectedExecutionException e) {
-      LOG.debug("Task dropped: the control thread has stopped", e);
-    }
+    tryExecute(task);
   }
 
   /**
@@ -45,14 +41,17 @@
   }
 
   /**
-   * Runs a task and waits until it has completed or the calling thread is interrupted.
+   * Runs a task and waits until it has completed or the calling thread is interrupted. Returns at
+   * once, without running the task, if the thread has been closed.
    *
    * @param task the task to run
    * @throws IllegalStateException if the task fails
    */
   public void runAndWait(Runnable task) {
     FutureTask<Void> future = new FutureTask<>(task, null);
-    execute(future);
+    if (!tryExecute(future)) {
+      return;
+    }
     try {
       future.get();
     } catch (InterruptedException e) {
@@ -67,6 +66,17 @@
     executor.shutdown();
   }
 
+  /** Returns whether the task will run. */
+  private boolean tryExecute(Runnable task) {
+    try {
+      executor.execute(() -> runAndLogFailure(task));
+      return true;
+    } catch (RejectedExecutionException e) {
+      LOG.debug("Task dropped: the control thread has stopped", e);
+      return false;
+    }
+  }
+
   private static void runAndLogFailure(Runnable task) {
     try {
       task.run();
