Answer the pending proposals of a voter that cannot write its disk

Cause: after a failed write the voter ignores ticks and messages, so the replies to its pending proposals were never completed, and an operator's change stayed without an answer. Change: the voter gives up its leadership at the failed write and answers that the outcome is unknown; it does not store anything for a transfer of leadership either. Result: VoterTests.answersProposalWhoseStorageFails failed before and passes now.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -139,8 +139,10 @@
 
   /** Transfers leadership to another voter before this VM shuts down. */
   void transferLeadership() {
-    execute(node.transferLeadership(clock.millis()));
-    updateLeadership();
+    if (!storageFailed) {
+      execute(node.transferLeadership(clock.millis()));
+      updateLeadership();
+    }
   }
 
   /**
@@ -394,8 +396,7 @@
         store.store(output);
       } catch (StorageException e) {
         LOG.error("Failed to store the control log; this VM stops voting", e);
-        storageFailed = true;
-        onStorageFailure.run();
+        stopVoting();
         return;
       }
     }
@@ -479,13 +480,23 @@
       store.compact(snapshot, node.entriesAfterSnapshot());
     } catch (StorageException e) {
       LOG.error("Failed to store the snapshot; this VM stops voting", e);
-      storageFailed = true;
-      onStorageFailure.run();
+      stopVoting();
+    }
+  }
+
+  /** Gives up a leadership and answers all pending proposals: their outcome is unknown. */
+  private void stopVoting() {
+    storageFailed = true;
+    Leadership current = leadership;
+    if (current != null) {
+      current.abandonProposals();
+      leadership = null;
     }
+    onStorageFailure.run();
   }
 
   private void updateLeadership() {
-    boolean leads = node.role() == ConsensusNode.Role.LEADER;
+    boolean leads = !storageFailed && node.role() == ConsensusNode.Role.LEADER;
     Leadership current = leadership;
     if (current != null && (!leads || current.term() != node.term())) {
       DecisionLog.line(LogEvent.LEADERSHIP_LOST).with("log_term", current.term()).write();
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
@@ -7,12 +7,16 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.cowslipdale.core.backend.BackendRegistry;
 import org.cowslipdale.core.failover.PrimaryTrafficMonitor;
 import org.cowslipdale.core.failover.PromotionMode;
+import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.routing.PositionReport;
+import org.cowslipdale.core.view.ViewCommand;
 import org.cowslipdale.core.view.VmRecord;
 import org.cowslipdale.daemon.connection.BackendException;
+import org.cowslipdale.daemon.peer.PeerMessage.ChangeReply;
 import org.cowslipdale.daemon.peer.PeerMessage.FleetQuery;
 import org.cowslipdale.daemon.peer.PeerMessage.LeaseRequest;
 import org.cowslipdale.daemon.storage.ControlStore;
@@ -97,6 +101,23 @@
     assertThat(voter.queryFleet(new FleetQuery(2, 0, false)).waitingFor(), contains(OTHER));
   }
 
+  /**
+   * Guards against an operator's change that is never answered. Whether the command was stored is
+   * unknown after a failed write.
+   */
+  @Test
+  void answersProposalWhoseStorageFails() throws Exception {
+    store.close();
+
+    CompletableFuture<ChangeReply> reply =
+        voter.propose(
+            new ViewCommand.RegisterVm(
+                new VmRecord("vm3", "a", "r", "address", 0, Long.MAX_VALUE, true, true), 0));
+
+    assertThat(reply.isDone(), is(true));
+    assertThat(reply.get().failure(), is(ResultCode.CHANGE_OUTCOME_UNKNOWN));
+  }
+
   private boolean isLeader() {
     return voter.queryFleet(new FleetQuery(0, 0, false)).leader() != null;
   }
