Abort a transaction whose server declines a step

Cause: the runner of transactions did not look at the reason why a server declined a call. A statement or commit that a replaced server declined was answered as done, with a null result, and a begin that failed counted as an open transaction. Change: a declined step aborts the transaction; a failed begin is refused; a connection is reused after a rollback only if the server confirmed it.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/StatementRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/StatementRunner.java
@@ -226,6 +226,10 @@
                   work.workClass().runLimitMillis(),
                   () -> isReplaced(target, work));
       recordAnswer(work.database(), target, answer);
+      if (answer.error() != null) {
+        pooled.close();
+        throw new RefusalException(ResultCode.STATEMENT_FAILED, answer.error());
+      }
       if (answer.declined() == null) {
         return Optional.of(new BegunTransaction(pooled, target, answer));
       }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/TransactionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/TransactionRunner.java
@@ -68,14 +68,15 @@
     transaction.lock();
     try {
       BackendAnswer answer = call(transaction, Operation.STATEMENT, body);
+      if (answer.declined() != null) {
+        throw abort(transaction);
+      }
       if (answer.error() != null) {
         throw new RefusalException(ResultCode.STATEMENT_FAILED, answer.error());
       }
       return createResult(context, transaction, answer, resultOf(answer));
     } catch (BackendException e) {
-      transactions.remove(transaction);
-      transaction.abort();
-      throw new RefusalException(ResultCode.TRANSACTION_ABORTED);
+      throw abort(transaction);
     } finally {
       transaction.unlock();
     }
@@ -100,7 +101,9 @@
     try {
       transactions.remove(transaction);
       BackendAnswer answer = call(transaction, Operation.ROLLBACK, NO_STATEMENT);
-      transaction.begun().pooled().markClean();
+      if (answer.declined() == null && answer.error() == null) {
+        transaction.begun().pooled().markClean();
+      }
       transaction.abort();
       return createResult(context, transaction, answer, NullNode.instance);
     } catch (BackendException e) {
@@ -128,6 +131,9 @@
       transaction.endWithUnknownOutcome();
       throw new RefusalException(ResultCode.OUTCOME_UNKNOWN);
     }
+    if (answer.declined() != null) {
+      throw abort(transaction);
+    }
     if (answer.error() != null) {
       transaction.abort();
       throw new RefusalException(ResultCode.TRANSACTION_ABORTED, answer.error());
@@ -143,6 +149,16 @@
     return createResult(context, transaction, answer, NullNode.instance);
   }
 
+  /**
+   * Aborts a transaction whose server did not run a step. A server declines the steps of a
+   * transaction that it no longer has, for example after it was replaced as primary.
+   */
+  private RefusalException abort(Transaction transaction) {
+    transactions.remove(transaction);
+    transaction.abort();
+    return new RefusalException(ResultCode.TRANSACTION_ABORTED);
+  }
+
   private static BackendAnswer call(
       Transaction transaction, Operation operation, StatementBody body) throws BackendException {
     StatementRunner.BegunTransaction begun = transaction.begun();
