Limit the wait for a reply of the own VM

Cause: requests to the own VM bypass the network and with it the time limit. A control leader that lost its lead keeps the demands for permits unanswered, so its own VM waited for ever. Change: the limit of the request holds for the own VM too. Result: ControlLinkTests failed before and passes now.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlLink.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlLink.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.cowslipdale.daemon.peer.PeerHandler;
 import org.cowslipdale.daemon.peer.PeerMessage;
 import org.cowslipdale.daemon.peer.PeerNetwork;
@@ -59,7 +60,8 @@
   /**
    * Sends a message and returns its reply.
    *
-   * @param timeoutMillis the time to wait for a reply, in milliseconds; not applied to this VM
+   * @param timeoutMillis the time to wait for a reply, in milliseconds
+   * @return a future completed with the reply, or exceptionally if none arrives in time
    */
   CompletableFuture<PeerMessage> request(String vm, PeerMessage message, long timeoutMillis) {
     if (!vm.equals(self)) {
@@ -67,7 +69,7 @@
     }
     CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
     localHandler.handle(self, message, answer::complete);
-    return answer;
+    return answer.orTimeout(Math.max(1, timeoutMillis), TimeUnit.MILLISECONDS);
   }
 
   /** Returns the VM that is assumed to be the control leader; it may no longer lead. */
