Count a forwarded step as in progress until its reply is written

Cause: a commit takes the transaction out of the registry before it runs, and a step that another VM forwarded was not counted, so a draining VM could exit during the commit and the caller got 3007 (outcome unknown). Change: forwarded steps count from their arrival until the reply has been written to the other VM. Result: ShutdownTests.forwardedCommitIsAnsweredBeforeItsVmStops (the server answers after 800 ms) got 3007 before and passes now.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlLink.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlLink.java
@@ -51,7 +51,7 @@
 
   void send(String vm, PeerMessage message) {
     if (vm.equals(self)) {
-      localHandler.handle(self, message, reply -> {});
+      localHandler.handle(self, message, reply -> CompletableFuture.completedFuture(null));
     } else {
       network.send(vm, message);
     }
@@ -68,7 +68,13 @@
       return network.request(vm, message, timeoutMillis);
     }
     CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
-    localHandler.handle(self, message, answer::complete);
+    localHandler.handle(
+        self,
+        message,
+        reply -> {
+          answer.complete(reply);
+          return CompletableFuture.completedFuture(null);
+        });
     return answer.orTimeout(Math.max(1, timeoutMillis), TimeUnit.MILLISECONDS);
   }
 
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlPlane.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlPlane.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.cowslipdale.config.codec.Codecs;
@@ -29,6 +31,7 @@
 import org.cowslipdale.core.view.ViewCommand;
 import org.cowslipdale.core.view.VmRecord;
 import org.cowslipdale.daemon.adapter.Operations;
+import org.cowslipdale.daemon.peer.PeerHandler;
 import org.cowslipdale.daemon.peer.PeerMessage;
 import org.cowslipdale.daemon.peer.PeerMessage.ChangeReply;
 import org.cowslipdale.daemon.peer.PeerMessage.ClaimAnswer;
@@ -88,6 +91,7 @@
   private final FleetPermits permits;
   private final TransactionForwarder transactionForwarder;
   private final @Nullable Voter voter;
+  private final AtomicInteger forwardedSteps = new AtomicInteger();
   private volatile Function<TransactionStep, Reply> transactionStepHandler =
       step -> new Reply(ResultCode.SHUTTING_DOWN.httpStatus(), "{}", null);
 
@@ -213,6 +217,14 @@
     return transactionForwarder;
   }
 
+  /**
+   * Returns the number of transaction steps that other VMs have forwarded to this one and whose
+   * replies have not been written yet.
+   */
+  public int forwardedStepsInProgress() {
+    return forwardedSteps.get();
+  }
+
   /** Renews the lease without delay, which sends new reports of this VM to the control leader. */
   public void renewLease() {
     control.execute(viewClient::renew);
@@ -349,12 +361,23 @@
     permits.tick();
   }
 
-  private void handleMessage(String from, PeerMessage message, Consumer<PeerMessage> reply) {
+  private void handleMessage(String from, PeerMessage message, PeerHandler.ReplyChannel reply) {
     if (message instanceof PeerMessage.ForwardRequest forward) {
-      Thread.startVirtualThread(() -> reply.accept(runStep(forward.step())));
+      forwardedSteps.incrementAndGet();
+      Thread.startVirtualThread(() -> runForwardedStep(forward, reply));
       return;
     }
-    control.execute(() -> dispatch(from, message, reply));
+    control.execute(() -> dispatch(from, message, reply::send));
+  }
+
+  private void runForwardedStep(
+      PeerMessage.ForwardRequest forward, PeerHandler.ReplyChannel reply) {
+    CompletionStage<Void> written = CompletableFuture.completedFuture(null);
+    try {
+      written = reply.send(runStep(forward.step()));
+    } finally {
+      written.whenComplete((nothing, failure) -> forwardedSteps.decrementAndGet());
+    }
   }
 
   private void dispatch(String from, PeerMessage message, Consumer<PeerMessage> reply) {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerHandler.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerHandler.java
@@ -1,6 +1,6 @@
 package org.cowslipdale.daemon.peer;
 
-import java.util.function.Consumer;
+import java.util.concurrent.CompletionStage;
 
 /** Handles messages of other VMs. It is called on event loops and must not block. */
 public interface PeerHandler {
@@ -12,5 +12,17 @@
    * @param message the message
    * @param reply sends a reply; the reply is discarded if the sender expects none
    */
-  void handle(String sender, PeerMessage message, Consumer<PeerMessage> reply);
+  void handle(String sender, PeerMessage message, ReplyChannel reply);
+
+  /** Sends the reply to a message. */
+  interface ReplyChannel {
+
+    /**
+     * Sends the reply.
+     *
+     * @param message the reply
+     * @return completes once the reply has been written, or exceptionally if it cannot be
+     */
+    CompletionStage<Void> send(PeerMessage message);
+  }
 }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerNetwork.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerNetwork.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
@@ -207,20 +208,20 @@
       }
     }
 
-    private void reply(PeerFrame request, PeerMessage message) {
+    private CompletionStage<Void> reply(PeerFrame request, PeerMessage message) {
       if (request.correlationId() == 0) {
-        return;
+        return CompletableFuture.completedFuture(null);
       }
       try {
-        write(FrameCodec.encode(new PeerFrame(request.correlationId(), true, message)));
+        return write(FrameCodec.encode(new PeerFrame(request.correlationId(), true, message)));
       } catch (IOException e) {
         throw new IllegalStateException("a peer message cannot be encoded", e);
       }
     }
 
-    private void write(Buffer frame) {
+    private CompletionStage<Void> write(Buffer frame) {
       sentBytes.addAndGet(frame.length());
-      socket.write(frame);
+      return socket.write(frame).toCompletionStage();
     }
   }
 
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
@@ -202,7 +202,7 @@
     sleepUntil(startedMillis + settings.limits().drainWaitMillis());
     boolean transactionsEnded = false;
     frontend.drain();
-    while (frontend.isBusy() && clock.millis() < limitMillis) {
+    while (isBusy() && clock.millis() < limitMillis) {
       sleepUntil(clock.millis() + DRAIN_POLL_MILLIS);
       if (!transactionsEnded && clock.millis() >= endTransactionsMillis) {
         transactionsEnded = true;
@@ -210,11 +210,16 @@
       }
       frontend.drain();
     }
-    if (frontend.isBusy()) {
+    if (isBusy()) {
       LOG.warn("drain limit reached; stopping with requests or transactions in progress");
     }
   }
 
+  /** Returns whether a caller of this VM, or of a VM that forwarded a step to it, waits for it. */
+  private boolean isBusy() {
+    return frontend.isBusy() || control.forwardedStepsInProgress() > 0;
+  }
+
   private Optional<String> peerAddress(String vm) {
     String configured = settings.control().voters().get(vm);
     if (configured != null) {
--- a/cowslipdale-testsupport/src/test/java/org/cowslipdale/testsupport/ShutdownTests.java
+++ b/cowslipdale-testsupport/src/test/java/org/cowslipdale/testsupport/ShutdownTests.java
@@ -84,6 +84,35 @@
     }
   }
 
+  /**
+   * Guards against a commit whose answer is lost because the VM that runs it for another one exits.
+   * While the commit runs, the transaction is no longer open and only the forwarded step is in
+   * progress.
+   */
+  @Test
+  void forwardedCommitIsAnsweredBeforeItsVmStops() throws IOException {
+    try (TestFleet fleet = TestFleet.start(folder)) {
+      CallerSession session = fleet.newSession();
+      String id =
+          session
+              .beginTransaction(fleet.callerAddress(2), "bonds", "plain-saves")
+              .body()
+              .path("transaction")
+              .asText();
+      session.runInTransaction(fleet.callerAddress(2), id, "put t 1");
+      fleet.fleet().vm("vm2").process().requestStop();
+      TestFleet.pause(2_000);
+
+      for (Fleet.Server server : fleet.fleet().servers()) {
+        fleet.setFaults(server.spec().name(), "{\"answerDelayMillis\": 800}");
+      }
+      CallerReply commit = session.endTransaction(fleet.callerAddress(3), id, "commit");
+
+      assertThat(commit.toString(), commit.isSuccessful(), is(true));
+      assertThat(fleet.fleet().vm("vm2").process().await(), is(143));
+    }
+  }
+
   private static void sendUntilStopped(
       TestFleet fleet,
       int preferredVm,
