Count a request as in progress from its head until its response is written

Cause: a request counted from the end of its body until its response was handed to Vert.x. A VM that drains could exit while a body was on its way or a response was not written yet, and requests that arrived between the drain and the close of the listener were cut off. Change: the count begins with the head and ends with the written response or the connection; the listener answers what it has accepted before it closes its connections.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/HttpFrontend.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/HttpFrontend.java
@@ -130,7 +130,7 @@
 
   @Override
   public boolean isBusy() {
-    return requestPath().server().inProgress() > 0 || requestPath().openTransactions() > 0;
+    return requestPath().server().isBusy() || requestPath().openTransactions() > 0;
   }
 
   @Override
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/CallerServer.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/CallerServer.java
@@ -5,9 +5,11 @@
 import io.vertx.core.AbstractVerticle;
 import io.vertx.core.DeploymentOptions;
 import io.vertx.core.Future;
+import io.vertx.core.Handler;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
@@ -35,12 +37,19 @@
   private static final String BEARER = "Bearer ";
   private static final int IDLE_TIMEOUT_SECONDS = 60;
 
+  /** Part of the time that the daemon reserves at its end for closing its components. */
+  private static final long SHUTDOWN_GRACE_MILLIS = 300;
+
   private final Vertx vertx;
   private final DaemonSettings settings;
   private final RequestService service;
   private final Tracing tracing;
   private final RequestMetrics metrics;
   private final AtomicInteger inProgress = new AtomicInteger();
+
+  /** Requests whose head has arrived and whose response has not been written yet. */
+  private final AtomicInteger unanswered = new AtomicInteger();
+
   private final AtomicBoolean draining = new AtomicBoolean();
   private @Nullable String deploymentId;
 
@@ -77,6 +86,11 @@
     return inProgress.get();
   }
 
+  /** Returns whether a request is in progress, still arriving, or without a written response. */
+  public boolean isBusy() {
+    return inProgress.get() > 0 || unanswered.get() > 0;
+  }
+
   /** Stops accepting connections and closes the open ones. */
   public Future<Void> stop() {
     return deploymentId == null ? Future.succeededFuture() : vertx.undeploy(deploymentId);
@@ -84,6 +98,8 @@
 
   private final class Listener extends AbstractVerticle {
 
+    private @Nullable HttpServer server;
+
     @Override
     public void start(Promise<Void> started) {
       String[] address = settings.listen().callers().orElseThrow().split(":", 2);
@@ -94,16 +110,23 @@
               .setTcpNoDelay(true)
               .setHttp2ClearTextEnabled(false)
               .setMaxHeaderSize(settings.limits().maxHeaderBytes());
-      vertx
-          .createHttpServer(options)
-          .requestHandler(CallerServer.this::receive)
-          .listen(Integer.parseInt(address[1]), address[0])
-          .<Void>mapEmpty()
-          .onComplete(started);
+      server = vertx.createHttpServer(options).requestHandler(CallerServer.this::receive);
+      server.listen(Integer.parseInt(address[1]), address[0]).<Void>mapEmpty().onComplete(started);
+    }
+
+    /** Answers the requests that arrived after the drain before the connections are closed. */
+    @Override
+    public void stop(Promise<Void> stopped) {
+      if (server == null) {
+        stopped.complete();
+      } else {
+        server.shutdown(SHUTDOWN_GRACE_MILLIS, TimeUnit.MILLISECONDS).onComplete(stopped);
+      }
     }
   }
 
   private void receive(HttpServerRequest request) {
+    countUntilAnswered(request.response());
     int maxBody = settings.limits().maxBodyBytes();
     Buffer body = Buffer.buffer();
     request.handler(
@@ -125,6 +148,19 @@
         });
   }
 
+  private void countUntilAnswered(HttpServerResponse response) {
+    unanswered.incrementAndGet();
+    AtomicBoolean ended = new AtomicBoolean();
+    Handler<Void> onEnd =
+        ignored -> {
+          if (ended.compareAndSet(false, true)) {
+            unanswered.decrementAndGet();
+          }
+        };
+    response.bodyEndHandler(onEnd);
+    response.closeHandler(onEnd);
+  }
+
   private void admit(HttpServerRequest request, Buffer body) {
     if (inProgress.incrementAndGet() > settings.limits().maxConcurrentRequests()) {
       inProgress.decrementAndGet();
--- a/cowslipdale-testsupport/src/test/java/org/cowslipdale/testsupport/ShutdownTests.java
+++ b/cowslipdale-testsupport/src/test/java/org/cowslipdale/testsupport/ShutdownTests.java
@@ -1,11 +1,16 @@
 package org.cowslipdale.testsupport;
 
+import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.Socket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -113,6 +118,46 @@
     }
   }
 
+  /**
+   * Guards against a request that is cut off because the stop of its VM is decided while the body
+   * is still on its way.
+   */
+  @Test
+  void requestWithPartialBodyIsAnsweredBeforeItsVmStops() throws IOException {
+    try (TestFleet fleet = TestFleet.start(folder)) {
+      String[] address = fleet.callerAddress(2).split(":", 2);
+      String body = "{\"statement\":\"put p 1\"}";
+      String head =
+          """
+          POST /v1/databases/bonds/classes/plain-saves/statements HTTP/1.1\r
+          Host: bonds\r
+          Authorization: Bearer %s\r
+          Content-Type: application/json\r
+          Content-Length: %d\r
+          \r
+          """
+              .formatted(fleet.key(), body.length());
+      try (Socket socket = new Socket(address[0], Integer.parseInt(address[1]))) {
+        socket.setSoTimeout(5_000);
+        send(socket, head + body.substring(0, 5));
+        TestFleet.pause(200);
+        fleet.fleet().vm("vm2").process().requestStop();
+        TestFleet.pause(1_800);
+        send(socket, body.substring(5));
+
+        BufferedReader reader =
+            new BufferedReader(new InputStreamReader(socket.getInputStream(), US_ASCII));
+        assertThat(reader.readLine(), startsWith("HTTP/1.1 200"));
+      }
+      assertThat(fleet.fleet().vm("vm2").process().await(), is(143));
+    }
+  }
+
+  private static void send(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(US_ASCII));
+    socket.getOutputStream().flush();
+  }
+
   private static void sendUntilStopped(
       TestFleet fleet,
       int preferredVm,
