Require a lease for writes where a replaced primary accepts them

There a replaced primary accepts writes until it can reach its successor, but VMs without a lease sent and acknowledged writes, and took the answers for a sign that the server leads. Ruled out: a promotion before the term is in force; the leader waited for the leases (term began at 4.925 s, service asked at 5.773 s). Change: the setting write-fencing says who prevents such writes. With 'lease', writes and plain transactions begin, commit and are acknowledged only under a lease; without it they are refused as not run or have an unknown outcome, and their answers prove nothing. With 'servers' all stays as it was. Result: SessionRouterTests (3 cases) and SessionRunnerTests (4) failed with the condition taken out and pass.

--- a/cowslipdale-config/src/main/java/org/cowslipdale/config/settings/DaemonSettings.java
+++ b/cowslipdale-config/src/main/java/org/cowslipdale/config/settings/DaemonSettings.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.cowslipdale.core.admission.QueuePolicy;
 import org.cowslipdale.core.routing.RoutingPolicy;
+import org.cowslipdale.core.routing.WriteFencing;
 
 /**
  * The settings of one daemon.
@@ -56,6 +57,11 @@
         && (!control.seeds().isEmpty() || control.voters().containsKey(vm.name()));
   }
 
+  /** Returns how writes to a replaced primary are prevented; by leases unless set otherwise. */
+  public WriteFencing writeFencing() {
+    return promotionService.map(PromotionService::writeFencing).orElse(WriteFencing.BY_LEASE);
+  }
+
   /**
    * Returns the region of a failure domain.
    *
@@ -101,8 +107,9 @@
    * The external service that performs promotions.
    *
    * @param address the network address of the service
+   * @param writeFencing how writes to a primary that the service has replaced are prevented
    */
-  public record PromotionService(String address) {}
+  public record PromotionService(String address, WriteFencing writeFencing) {}
 
   /**
    * The addresses on which the daemon listens, each an IPv4 address and a port.
--- a/cowslipdale-config/src/main/java/org/cowslipdale/config/settings/DaemonSettingsReader.java
+++ b/cowslipdale-config/src/main/java/org/cowslipdale/config/settings/DaemonSettingsReader.java
@@ -22,6 +22,7 @@
 import org.cowslipdale.core.admission.QueuePolicy;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.routing.RoutingPolicy;
+import org.cowslipdale.core.routing.WriteFencing;
 
 /** Reads and validates the settings file of a daemon; reports all errors in one exception. */
 public final class DaemonSettingsReader {
@@ -258,8 +259,12 @@
   private Optional<PromotionService> readPromotionService() {
     SectionReader reader = reader("promotion-service");
     Optional<String> address = reader.optionalAddress("address");
+    WriteFencing writeFencing =
+        reader.oneOf("write-fencing", "lease", List.of("lease", "servers")).equals("servers")
+            ? WriteFencing.BY_SERVERS
+            : WriteFencing.BY_LEASE;
     reader.reportUnknownKeys();
-    return address.map(PromotionService::new);
+    return address.map(found -> new PromotionService(found, writeFencing));
   }
 
   /** Reads the address translations; both keys and values are network addresses. */
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
@@ -49,6 +49,7 @@
   private final ServerLoad load;
   private final ReplicaLagTracker replicaLag;
   private final ServerBackoff backoff;
+  private final WriteFencing writeFencing;
 
   /**
    * Creates a router.
@@ -59,6 +60,7 @@
    * @param load the load and health of servers as seen by this VM
    * @param replicaLag the replicas that rejected reads because they lag
    * @param backoff the servers that reported that they are busy
+   * @param writeFencing how writes to a replaced primary are prevented
    */
   public SessionRouter(
       String vm,
@@ -66,13 +68,15 @@
       String region,
       ServerLoad load,
       ReplicaLagTracker replicaLag,
-      ServerBackoff backoff) {
+      ServerBackoff backoff,
+      WriteFencing writeFencing) {
     this.vm = requireNonNull(vm, "vm");
     this.failureDomain = requireNonNull(failureDomain, "failureDomain");
     this.region = requireNonNull(region, "region");
     this.load = requireNonNull(load, "load");
     this.replicaLag = requireNonNull(replicaLag, "replicaLag");
     this.backoff = requireNonNull(backoff, "backoff");
+    this.writeFencing = requireNonNull(writeFencing, "writeFencing");
   }
 
   /**
@@ -93,7 +97,9 @@
       PositionHistory history,
       long now) {
     if (demand.write()) {
-      return routeToPrimary(group, state, demand, false, now);
+      return mayWrite(lease, now)
+          ? routeToPrimary(group, state, demand, requiresLeaseToWrite(), now)
+          : new SessionTarget.Wait(ResultCode.NO_LEASE);
     }
     Optional<SessionTarget> target =
         findSample(demand.freshness(), history, now)
@@ -130,8 +136,10 @@
       return Optional.empty();
     }
     if (demand.write()) {
-      return isPrimary
-          ? Optional.of(new SessionTarget.RunOn(server, state.term(), true, null, false, now))
+      return isPrimary && mayWrite(lease, now)
+          ? Optional.of(
+              new SessionTarget.RunOn(
+                  server, state.term(), true, null, requiresLeaseToWrite(), now))
           : Optional.empty();
     }
     if (isPrimary && coversTransit(lease, now)) {
@@ -149,6 +157,14 @@
                     sample.sentMillis()));
   }
 
+  private boolean mayWrite(LeaseStatus lease, long now) {
+    return !requiresLeaseToWrite() || coversTransit(lease, now);
+  }
+
+  private boolean requiresLeaseToWrite() {
+    return writeFencing == WriteFencing.BY_LEASE;
+  }
+
   private static boolean coversTransit(LeaseStatus lease, long now) {
     return lease.isValid(now + TRANSIT_MILLIS);
   }
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/FleetPositionsTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/FleetPositionsTests.java
@@ -167,7 +167,8 @@
             "north",
             new NoLoad(),
             new ReplicaLagTracker(),
-            new ServerBackoff(random));
+            new ServerBackoff(random),
+            WriteFencing.BY_SERVERS);
     for (int i = 0; i < vmCount; i++) {
       Vm vm = new Vm(new Clock(random.nextInt(1_000_000_000), 1), 60_000);
       vms.add(vm);
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterTests.java
@@ -13,6 +13,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.cowslipdale.core.backend.Announcement;
+import org.cowslipdale.core.backend.BackendGroup;
 import org.cowslipdale.core.backend.BackendRegistry;
 import org.cowslipdale.core.backend.BackendServer;
 import org.cowslipdale.core.backend.ServerBackoff;
@@ -42,7 +43,8 @@
   private final Set<String> ejected = new HashSet<>();
   private final DatabaseState state = new DatabaseState(2, "bonds-1", List.of(new TermStart(2, 0)));
   private final SessionRouter router =
-      new SessionRouter("vm1", "domain-b", "north", new FakeLoad(), replicaLag, backoff);
+      new SessionRouter(
+          "vm1", "domain-b", "north", new FakeLoad(), replicaLag, backoff, WriteFencing.BY_SERVERS);
 
   private final class FakeLoad implements ServerLoad {
 
@@ -69,6 +71,29 @@
     assertThat(serverName(route(write(), EXPIRED_LEASE)), is("bonds-1"));
   }
 
+  /** A replaced primary that accepts writes must get none of a VM that may not know of it. */
+  @ParameterizedTest
+  @CsvSource({"-1, false", "200, false", "300, true"})
+  void requiresLeaseForWritesUnlessServersRefuseThem(long leaseLeftMillis, boolean permitted) {
+    SessionRouter fencing =
+        new SessionRouter(
+            "vm1", "domain-b", "north", new FakeLoad(), replicaLag, backoff, WriteFencing.BY_LEASE);
+    LeaseStatus lease = new LeaseStatus(NOW + leaseLeftMillis);
+    BackendGroup group = registry.group("bonds");
+    BackendServer primary = group.server("bonds-1").orElseThrow();
+
+    SessionTarget target = fencing.route(write(), group, state, lease, history, NOW);
+
+    assertThat(
+        target,
+        is(
+            permitted
+                ? new RunOn(primary, 2, true, null, true, NOW)
+                : new SessionTarget.Wait(ResultCode.NO_LEASE)));
+    assertThat(
+        fencing.confirm(primary, write(), state, lease, history, NOW).isPresent(), is(permitted));
+  }
+
   @Test
   void latestReadsRequirePrimaryAndValidLease() {
     addSample(NOW - 100, 70);
@@ -213,7 +238,14 @@
     Set<String> used = new HashSet<>();
     for (int vm = 0; vm < 20; vm++) {
       SessionRouter other =
-          new SessionRouter("vm" + vm, "domain-x", "north", new FakeLoad(), replicaLag, backoff);
+          new SessionRouter(
+              "vm" + vm,
+              "domain-x",
+              "north",
+              new FakeLoad(),
+              replicaLag,
+              backoff,
+              WriteFencing.BY_SERVERS);
       used.add(
           serverName(
               other.route(
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/Session.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/Session.java
@@ -4,6 +4,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.cowslipdale.core.result.Outcome;
 import org.cowslipdale.core.result.RefusalException;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.session.LogPosition;
@@ -270,7 +271,9 @@
       throw new RefusalException(ResultCode.OUTCOME_UNKNOWN);
     } catch (RefusalException e) {
       begunTransaction.checkout().close();
-      throw new RefusalException(ResultCode.TRANSACTION_ABORTED);
+      throw e.code().outcome() == Outcome.UNKNOWN
+          ? e
+          : new RefusalException(ResultCode.TRANSACTION_ABORTED);
     }
     if (reply.failure() == null && reply.state() == TransactionState.IDLE) {
       begunTransaction.checkout().markClean();
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -106,8 +106,9 @@
     }
 
     /**
-     * Returns whether a successful reply proves that the server is the primary. A commit proves
-     * nothing, because a replaced primary still commits transactions that wrote nothing.
+     * Returns whether a successful reply proves that the server is the primary, if replaced
+     * primaries refuse writes. A commit proves nothing even then, because they still commit
+     * transactions that wrote nothing.
      */
     boolean provesPrimary() {
       return !(statement instanceof Statement.Commit) && isWrite();
@@ -128,8 +129,11 @@
    *
    * @param checkout the connection of the transaction
    * @param target the server
+   * @param commitRequiresLease whether the transaction may have written and may be committed only
+   *     under a lease
    */
-  record BegunTransaction(SessionPool.Checkout checkout, RunOn target) {}
+  record BegunTransaction(
+      SessionPool.Checkout checkout, RunOn target, boolean commitRequiresLease) {}
 
   /** Runs a single statement. */
   ServerReply run(StatementRequest request) throws RefusalException {
@@ -158,17 +162,27 @@
    * transaction open.
    *
    * @throws BackendException if no complete reply arrived; the connection is unusable
+   * @throws RefusalException if the statement was not sent, or with an unknown outcome if it is a
+   *     commit that may not be acknowledged because the lease ended
    */
   ServerReply runInTransaction(BegunTransaction transaction, StatementRequest request)
       throws BackendException, RefusalException {
+    boolean requiresLease =
+        transaction.commitRequiresLease() && request.statement() instanceof Statement.Commit;
     long delay = INITIAL_RETRY_DELAY_MILLIS;
     while (true) {
+      if (requiresLease && !isCurrentPrimary(request, transaction.target())) {
+        throw new RefusalException(ResultCode.NO_LEASE);
+      }
       long sentMillis = context.clock().millis();
       ServerReply reply = execute(request, transaction.checkout().session(), null);
       recordAnswer(request, transaction.target(), reply, sentMillis);
       boolean retry =
           reply.failure() == ServerFailure.BUSY && reply.state() == TransactionState.OPEN;
       if (!retry || context.clock().millis() + delay >= request.deadlineMillis()) {
+        if (requiresLease && reply.failure() == null) {
+          requireCurrentPrimary(request, transaction.target());
+        }
         return reply;
       }
       sleep(delay);
@@ -287,7 +301,10 @@
         if (confirmed.isEmpty()) {
           checkout.markClean();
           checkout.close();
-          lastFailureCode = request.isWrite() ? ResultCode.NO_PRIMARY : ResultCode.NO_LEASE;
+          lastFailureCode =
+              request.isWrite() && !target.leaseRequired()
+                  ? ResultCode.NO_PRIMARY
+                  : ResultCode.NO_LEASE;
           return Optional.empty();
         }
         sent = true;
@@ -466,8 +483,10 @@
             .with("position", reply.position())
             .write();
       }
-      boolean leaseLost =
-          target.leaseRequired() && !request.isWrite() && !isCurrentPrimary(request, target);
+      if (target.leaseRequired() && request.isWrite()) {
+        requireCurrentPrimary(request, target);
+      }
+      boolean leaseLost = target.leaseRequired() && !isCurrentPrimary(request, target);
       retryLoop.lastFailureCode = ResultCode.NO_LEASE;
       return leaseLost ? Optional.empty() : Optional.of(reply);
     }
@@ -512,7 +531,8 @@
       retryLoop.lastFailureCode = ResultCode.NO_LEASE;
       return Optional.empty();
     }
-    return Optional.of(new BegunTransaction(checkout, target));
+    return Optional.of(
+        new BegunTransaction(checkout, target, target.leaseRequired() && request.isWrite()));
   }
 
   /**
@@ -559,7 +579,8 @@
     boolean isPrimary =
         target.asPrimary()
             && reply.failure() == null
-            && (request.provesPrimary() || isCurrentPrimary(request, target));
+            && ((request.provesPrimary() && !target.leaseRequired())
+                || isCurrentPrimary(request, target));
     if (!isPrimary) {
       return;
     }
@@ -584,6 +605,18 @@
         .with("left_ms", request.deadlineMillis() - context.clock().millis());
   }
 
+  /**
+   * Checks that a write may be acknowledged: after the end of the lease its server may have been
+   * replaced before it ran the write.
+   */
+  private void requireCurrentPrimary(StatementRequest request, RunOn target)
+      throws RefusalException {
+    if (!isCurrentPrimary(request, target)) {
+      throw new RefusalException(
+          ResultCode.OUTCOME_UNKNOWN, "The lease ended while the write was in progress.");
+    }
+  }
+
   private boolean isCurrentPrimary(StatementRequest request, RunOn target) {
     CurrentView current = context.views().get();
     DatabaseState state = current.view().database(request.operation().route().database());
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
@@ -21,9 +21,11 @@
 import org.cowslipdale.core.permit.HeldPermits;
 import org.cowslipdale.core.result.Outcome;
 import org.cowslipdale.core.result.RefusalException;
+import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.routing.FleetPositions;
 import org.cowslipdale.core.routing.ReplicaLagTracker;
 import org.cowslipdale.core.routing.SessionRouter;
+import org.cowslipdale.core.routing.WriteFencing;
 import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.statement.ServerReply;
 import org.cowslipdale.core.statement.Statement;
@@ -55,6 +57,7 @@
 class SessionRunnerTests {
 
   private static final long LIMIT_MILLIS = 2_000;
+  private static final Freshness LATEST = new Freshness.Latest();
 
   /**
    * The pool leaves two of a server's connections for queries of its state, so two remain for
@@ -72,6 +75,7 @@
   private final AtomicInteger returnedTokens = new AtomicInteger();
   private final List<Thread> threads = new ArrayList<>();
   private final List<CountDownLatch> answerLatches = new ArrayList<>();
+  private WriteFencing writeFencing = WriteFencing.BY_SERVERS;
   private SessionRunner runner;
 
   @BeforeEach
@@ -121,7 +125,7 @@
             views,
             registry,
             health,
-            new SessionRouter("vm1", "a", "r", pools, lagTracker, backoff),
+            new SessionRouter("vm1", "a", "r", pools, lagTracker, backoff, writeFencing),
             pools,
             lagTracker,
             new FleetPositions(),
@@ -280,6 +284,82 @@
     assertThat(returnedTokens.get(), is(1));
   }
 
+  /**
+   * A replaced primary that accepts writes may commit one that was sent before the lease ended. It
+   * must not be acknowledged.
+   */
+  @Order(8)
+  @Test
+  void writeHasUnknownOutcomeWhenLeaseExpiresBeforeItsAnswer() {
+    writeFencing = WriteFencing.BY_LEASE;
+    grantLease(500);
+    servers.delayStatements(600);
+
+    RefusalException refusal =
+        assertThrows(
+            RefusalException.class,
+            () -> runner.run(request("write-1", true, new Freshness.Latest())));
+
+    assertThat(refusal.code(), is(ResultCode.OUTCOME_UNKNOWN));
+    assertThat(servers.runs(), is(List.of("bonds-1 write-1")));
+  }
+
+  /** The position of a replaced primary must not count as that of its successor. */
+  @Order(9)
+  @Test
+  void writeWithoutLeaseDoesNotProvePrimary() {
+    writeFencing = WriteFencing.BY_LEASE;
+    grantLease(500);
+    servers.delayStatements(600);
+    assertThrows(
+        RefusalException.class, () -> runner.run(request("write-1", true, new Freshness.Latest())));
+    servers.delayStatements(0);
+
+    Freshness bounded = new Freshness.BoundedAge(1_500);
+    assertThrows(RefusalException.class, () -> runner.run(request("read-1", false, bounded, 300)));
+  }
+
+  @Order(10)
+  @Test
+  void doesNotCommitAfterLeaseHasExpired() throws Exception {
+    writeFencing = WriteFencing.BY_LEASE;
+    grantLease(500);
+    SessionRunner.BegunTransaction transaction = runner.begin(request(plainBegin(), LATEST));
+    pause(600);
+
+    RefusalException refusal =
+        assertThrows(
+            RefusalException.class, () -> runner.runInTransaction(transaction, commitRequest()));
+
+    transaction.checkout().close();
+    assertThat(refusal.code().outcome(), is(Outcome.NOT_RUN));
+    assertThat(servers.runs(), is(List.of("bonds-1 begin-1")));
+  }
+
+  @Order(11)
+  @Test
+  void commitHasUnknownOutcomeWhenLeaseExpiresBeforeItsAnswer() throws Exception {
+    writeFencing = WriteFencing.BY_LEASE;
+    grantLease(500);
+    SessionRunner.BegunTransaction transaction = runner.begin(request(plainBegin(), LATEST));
+    servers.delayStatements(600);
+
+    RefusalException refusal =
+        assertThrows(
+            RefusalException.class, () -> runner.runInTransaction(transaction, commitRequest()));
+
+    transaction.checkout().close();
+    assertThat(refusal.code(), is(ResultCode.OUTCOME_UNKNOWN));
+  }
+
+  private static Statement.Begin plainBegin() {
+    return new Statement.Begin("begin-1", "BEGIN", false);
+  }
+
+  private SessionRunner.StatementRequest commitRequest() {
+    return request(new Statement.Commit("commit-1", "COMMIT"), LATEST);
+  }
+
   private void grantLease(long millis) {
     views = new ViewHolder(clock.millis());
     views.publish(view(), clock.millis() + millis, 1);
