Check the leader lease right before a promotion is requested

Cause: the leader checked its lease before it opened the connection to the promotion service. Change: the end of the lease that was held at the decision goes with the request and is compared with the boot-time clock once the connection is open; the request is not sent after it.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusNode.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusNode.java
@@ -194,8 +194,16 @@
    */
   public boolean holdsLeaderLease(long now) {
     boolean ownTermCommitted = role == Role.LEADER && log.termAt(commitIndex) == term;
-    return ownTermCommitted
-        && now < quorumAcknowledgedMillis(now) + ConsensusTimings.LEADER_LEASE_MILLIS;
+    return ownTermCommitted && now < leaderLeaseEndMillis(now);
+  }
+
+  /**
+   * Returns the time until which a leader that holds the leader lease now holds it at least.
+   *
+   * @param now the current time in milliseconds of the VM's monotonic clock
+   */
+  public long leaderLeaseEndMillis(long now) {
+    return quorumAcknowledgedMillis(now) + ConsensusTimings.LEADER_LEASE_MILLIS;
   }
 
   /**
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/PromotionService.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/PromotionService.java
@@ -1,6 +1,7 @@
 package org.cowslipdale.daemon.connection;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 
 /** An external service that promotes a backend server to the primary of its database. */
 public interface PromotionService {
@@ -21,10 +22,13 @@
    * @param database the name of the database
    * @param server the name of the server
    * @param holder the name of the VM that requests the promotion
-   * @param fence the fence of this attempt; the service refuses fences below the highest that it
-   *     has seen
+   * @param fence the fence of this attempt; a service that checks fences refuses those below the
+   *     highest that it has seen
+   * @param mayRequest evaluated right before the request is sent, after all waits; if false, the
+   *     request is not sent and the future completes exceptionally
    * @return a future that completes with the answer, or exceptionally if none arrived; the service
    *     may still perform the promotion in that case
    */
-  CompletableFuture<Answer> promote(String database, String server, String holder, long fence);
+  CompletableFuture<Answer> promote(
+      String database, String server, String holder, long fence, BooleanSupplier mayRequest);
 }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FailoverExecutor.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FailoverExecutor.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.cowslipdale.config.protocol.PromotionCall;
 import org.cowslipdale.config.protocol.ServerStatus;
@@ -109,16 +110,20 @@
   /**
    * Requests a promotion from the external service.
    *
+   * @param promotion the promotion
+   * @param mayRequest evaluated right before the request is sent, which happens only if it is true
+   * @param listener receives the answer, if one arrives
    * @throws IllegalStateException if servers are promoted directly
    */
-  void promote(RequestPromotion promotion, PromotionListener listener) {
+  void promote(RequestPromotion promotion, BooleanSupplier mayRequest, PromotionListener listener) {
     if (!(access instanceof BackendAccess.External external)) {
       throw new IllegalStateException("No external promotion service is in use");
     }
     phaseLine("service-asked", promotion).write();
     external
         .promotionService()
-        .promote(promotion.database(), promotion.server(), leaseHolder, promotion.fence())
+        .promote(
+            promotion.database(), promotion.server(), leaseHolder, promotion.fence(), mayRequest)
         .whenComplete(
             (answer, failure) -> {
               if (failure == null) {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -535,9 +535,13 @@
                       .failover()
                       .recordPosition(
                           answered.database(), answered.term(), answered.server(), position));
-      case FailoverAction.RequestPromotion promote ->
-          executor.promote(
-              promote, (answered, answer) -> promotionAnswered(current, answered, answer));
+      case FailoverAction.RequestPromotion promote -> {
+        long leaseEndMillis = node.leaderLeaseEndMillis(clock.millis());
+        executor.promote(
+            promote,
+            () -> clock.millis() < leaseEndMillis,
+            (answered, answer) -> promotionAnswered(current, answered, answer));
+      }
       case FailoverAction.AssignRole order ->
           executor.sendOrder(
               order,
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
@@ -49,7 +49,7 @@
               throw new BackendException(
                   false, new IllegalStateException("no backend servers in this test"));
             },
-            (database, server, holder, fence) -> {
+            (database, server, holder, fence, mayRequest) -> {
               throw new IllegalStateException("no promotions in this test");
             },
             new PrimaryTrafficMonitor());
