Send the view instead of several configurations to a VM that starts

Change: where more than one configuration is missing, the view is sent, which contains the last one.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/RecentCommands.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/RecentCommands.java
@@ -29,13 +29,19 @@
     }
   }
 
-  /** Returns the commands after a version, or empty if some of them are not retained. */
+  /**
+   * Returns the commands after a version, or empty if the whole view is to be sent instead: some of
+   * the commands are not retained, or several of them contain a whole configuration.
+   */
   Optional<List<ViewCommand>> commandsAfter(long version) {
     long missing = lastVersion - version;
     if (missing < 0 || missing > commands.size()) {
       return Optional.empty();
     }
     List<ViewCommand> all = new ArrayList<>(commands);
-    return Optional.of(all.subList(all.size() - (int) missing, all.size()));
+    List<ViewCommand> after = all.subList(all.size() - (int) missing, all.size());
+    long configurations =
+        after.stream().filter(ViewCommand.ReplaceConfiguration.class::isInstance).count();
+    return configurations > 1 ? Optional.empty() : Optional.of(after);
   }
 }
