Encode an update of the view once for all VMs

Cause: the leader encoded and compressed the update of the view for every VM and every change, on the thread that also keeps the leadership; the same bytes each time. Change: the update travels as an encoded value, kept by the leader for the version from which it starts until the next change. VMs say that they read it, so VMs of the version before get the plain fields.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ViewClient.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ViewClient.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.io.IOException;
 import java.util.List;
 import org.cowslipdale.core.control.LeaseTimings;
 import org.cowslipdale.core.failover.PrimaryMonitor;
@@ -12,11 +13,14 @@
 import org.cowslipdale.daemon.peer.PeerMessage;
 import org.cowslipdale.daemon.peer.PeerMessage.LeaseReply;
 import org.cowslipdale.daemon.peer.PeerMessage.LeaseRequest;
+import org.cowslipdale.daemon.peer.ViewUpdate;
 import org.cowslipdale.daemon.telemetry.DecisionLog;
 import org.cowslipdale.daemon.telemetry.LogEvent;
 import org.cowslipdale.daemon.version.ViewHolder;
 import org.cowslipdale.daemon.version.VmClock;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Renews the lease of this VM at the control leader, applies updates of the view and registers the
@@ -32,6 +36,7 @@
 
   private static final long ANSWER_TIMEOUT_MILLIS = 400;
   private static final long RETRY_MILLIS = 100;
+  private static final Logger LOG = LoggerFactory.getLogger(ViewClient.class);
 
   private final VmRecord self;
   private final ControlLink link;
@@ -96,7 +101,14 @@
     stopping = true;
     LeaseRequest request =
         new LeaseRequest(
-            views.get().view().version(), List.of(), List.of(), clock.millis(), true, null, null);
+            views.get().view().version(),
+            List.of(),
+            List.of(),
+            clock.millis(),
+            true,
+            null,
+            null,
+            false);
     link.send(link.assumedLeader(), request);
   }
 
@@ -114,7 +126,8 @@
             now,
             false,
             positions.createReport(now),
-            permits.createReport(leader));
+            permits.createReport(leader),
+            true);
     link.request(leader, request, ANSWER_TIMEOUT_MILLIS)
         .whenComplete(
             (reply, failure) ->
@@ -146,8 +159,16 @@
     if (reply.positions() != null) {
       positions.applyUpdate(reply.positions(), reply.requestSentMillis(), clock.millis());
     }
-    View view = applyToView(reply);
-    boolean complete = view.version() >= targetVersion(reply);
+    ViewUpdate update;
+    try {
+      update = reply.update();
+    } catch (IOException e) {
+      LOG.warn("The update of the view from {} cannot be read: {}", leader, e.getMessage());
+      tryNextLeader(leader, null);
+      return;
+    }
+    View view = apply(update);
+    boolean complete = view.version() >= update.targetVersion();
     long leaseEnd =
         reply.granted() && complete && !stopping
             ? reply.requestSentMillis() + LeaseTimings.LEASE_MILLIS
@@ -179,27 +200,21 @@
     }
   }
 
-  private View applyToView(LeaseReply reply) {
+  private View apply(ViewUpdate update) {
     View current = views.get().view();
-    if (reply.view() != null) {
-      return reply.view().version() > current.version() ? reply.view() : current;
+    if (update.view() != null) {
+      return update.view().version() > current.version() ? update.view() : current;
     }
-    if (reply.fromVersion() != current.version()) {
+    if (update.fromVersion() != current.version()) {
       return current;
     }
     View next = current;
-    for (ViewCommand command : reply.commands()) {
+    for (ViewCommand command : update.commands()) {
       next = next.apply(command).view();
     }
     return next;
   }
 
-  private static long targetVersion(LeaseReply reply) {
-    return reply.view() != null
-        ? reply.view().version()
-        : reply.fromVersion() + reply.commands().size();
-  }
-
   private boolean isRegistrationCurrent(View view) {
     VmRecord known = view.vms().get(self.name());
     return known != null
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.io.IOException;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -30,6 +31,7 @@
 import org.cowslipdale.core.view.ViewCommand;
 import org.cowslipdale.core.view.VmRecord;
 import org.cowslipdale.daemon.connection.PromotionService;
+import org.cowslipdale.daemon.peer.EncodedViewUpdate;
 import org.cowslipdale.daemon.peer.PeerMessage;
 import org.cowslipdale.daemon.peer.PeerMessage.ChangeReply;
 import org.cowslipdale.daemon.peer.PeerMessage.FleetQuery;
@@ -38,6 +40,7 @@
 import org.cowslipdale.daemon.peer.PeerMessage.LeaseRequest;
 import org.cowslipdale.daemon.peer.PeerMessage.TokenReply;
 import org.cowslipdale.daemon.peer.PeerMessage.TokenRequest;
+import org.cowslipdale.daemon.peer.ViewUpdate;
 import org.cowslipdale.daemon.storage.ControlStore;
 import org.cowslipdale.daemon.storage.StorageException;
 import org.cowslipdale.daemon.telemetry.DecisionLog;
@@ -75,6 +78,7 @@
   private final PeerSender sender;
   private final Runnable onStorageFailure;
   private final RecentCommands recentCommands = new RecentCommands();
+  private final ViewUpdates viewUpdates = new ViewUpdates(recentCommands);
   private ControlState state;
   private long appliedIndex;
   private @Nullable Leadership leadership;
@@ -196,18 +200,31 @@
     if (registered) {
       current.leases().grant(from, request.version(), request.sentMillis(), now);
     }
-    Optional<List<ViewCommand>> commands = recentCommands.commandsAfter(request.version());
+    boolean encoded = request.acceptsEncodedUpdate() && request.version() != view.version();
+    ViewUpdate update =
+        encoded
+            ? new ViewUpdate(request.version(), List.of(), null)
+            : viewUpdates.updateFrom(request.version(), view);
     return new LeaseReply(
         registered,
         vm,
         registered,
-        request.version(),
-        commands.orElse(List.of()),
-        commands.isPresent() ? null : view,
+        update.fromVersion(),
+        update.commands(),
+        update.view(),
         request.sentMillis(),
         voterNames(),
         countCallerVms(current, view, now),
-        record != null && record.servesCallers() ? current.positions().createUpdate(now) : null);
+        record != null && record.servesCallers() ? current.positions().createUpdate(now) : null,
+        encoded ? encodeUpdate(request.version(), view) : null);
+  }
+
+  private EncodedViewUpdate encodeUpdate(long fromVersion, View view) {
+    try {
+      return viewUpdates.encodedUpdateFrom(fromVersion, view);
+    } catch (IOException e) {
+      throw new IllegalStateException("an update of the view cannot be encoded", e);
+    }
   }
 
   /** Counts the VMs that serve callers and may have open connections to servers, at least 1. */
@@ -373,6 +390,7 @@
         request.sentMillis(),
         voterNames(),
         0,
+        null,
         null);
   }
 
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/FrameCodec.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/FrameCodec.java
@@ -64,7 +64,7 @@
     return CODEC.readValue(payload.getBytes(), PeerFrame.class);
   }
 
-  private static byte[] compress(byte[] payload) throws IOException {
+  static byte[] compress(byte[] payload) throws IOException {
     ByteArrayOutputStream compressed = new ByteArrayOutputStream(payload.length / 2);
     try (OutputStream deflater = new DeflaterOutputStream(compressed)) {
       deflater.write(payload);
@@ -73,14 +73,13 @@
   }
 
   /** Decompresses a payload. The size limit also applies to the decompressed payload. */
-  private static Buffer decompress(Buffer compressed) throws IOException {
-    try (InputStream inflater =
-        new InflaterInputStream(new ByteArrayInputStream(compressed.getBytes()))) {
+  static byte[] decompress(byte[] compressed) throws IOException {
+    try (InputStream inflater = new InflaterInputStream(new ByteArrayInputStream(compressed))) {
       byte[] payload = inflater.readNBytes(MAX_FRAME_BYTES + 1);
       if (payload.length > MAX_FRAME_BYTES) {
         throw new IOException("the decompressed payload exceeds the size limit");
       }
-      return Buffer.buffer(payload);
+      return payload;
     }
   }
 
@@ -137,7 +136,7 @@
 
     private void deliver(Buffer record) {
       try {
-        payloadHandler.accept(compressed ? decompress(record) : record);
+        payloadHandler.accept(compressed ? Buffer.buffer(decompress(record.getBytes())) : record);
       } catch (IOException e) {
         LOG.warn("closing a peer connection: a frame cannot be decompressed: {}", e.getMessage());
         invalidFrameHandler.run();
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerMessage.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerMessage.java
@@ -1,6 +1,7 @@
 package org.cowslipdale.daemon.peer;
 
 import com.fasterxml.jackson.annotation.JsonTypeName;
+import java.io.IOException;
 import java.util.List;
 import org.cowslipdale.core.backend.Announcement;
 import org.cowslipdale.core.claim.ClaimReply;
@@ -54,6 +55,8 @@
    * @param positions the log positions that primaries reported to the VM; null on a release
    * @param permits the permits that the VM holds for connections to servers; null on a release or
    *     if the VM has connections without a permit
+   * @param acceptsEncodedUpdate whether the VM reads {@code encodedUpdate} of the reply; false if
+   *     the sender does not know it
    */
   record LeaseRequest(
       long version,
@@ -62,7 +65,8 @@
       long sentMillis,
       boolean release,
       @Nullable PositionReport positions,
-      @Nullable PermitReport permits)
+      @Nullable PermitReport permits,
+      boolean acceptsEncodedUpdate)
       implements PeerMessage {}
 
   /**
@@ -80,6 +84,8 @@
    *     not the control leader
    * @param positions the newest log positions of primaries known to the leader; null if the sender
    *     is not the leader or the VM does not serve callers
+   * @param encodedUpdate the encoded update of the view, which takes the place of {@code commands}
+   *     and {@code view}; null if they hold the update
    */
   record LeaseReply(
       boolean granted,
@@ -91,8 +97,21 @@
       long requestSentMillis,
       List<String> voters,
       int callerVms,
-      @Nullable PositionUpdate positions)
-      implements PeerMessage {}
+      @Nullable PositionUpdate positions,
+      @Nullable EncodedViewUpdate encodedUpdate)
+      implements PeerMessage {
+
+    /**
+     * Returns the update of the view.
+     *
+     * @throws IOException if it cannot be read
+     */
+    public ViewUpdate update() throws IOException {
+      return encodedUpdate == null
+          ? new ViewUpdate(fromVersion, commands, view)
+          : encodedUpdate.decode();
+    }
+  }
 
   /**
    * Notifies a VM that a newer version of the view exists. The encoded name of the message is
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
@@ -2,7 +2,11 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
+import static org.hamcrest.Matchers.sameInstance;
 
 import java.nio.file.Path;
 import java.util.List;
@@ -13,12 +17,15 @@
 import org.cowslipdale.core.failover.PromotionMode;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.routing.PositionReport;
+import org.cowslipdale.core.view.View;
 import org.cowslipdale.core.view.ViewCommand;
 import org.cowslipdale.core.view.VmRecord;
 import org.cowslipdale.daemon.connection.BackendException;
 import org.cowslipdale.daemon.peer.PeerMessage.ChangeReply;
 import org.cowslipdale.daemon.peer.PeerMessage.FleetQuery;
+import org.cowslipdale.daemon.peer.PeerMessage.LeaseReply;
 import org.cowslipdale.daemon.peer.PeerMessage.LeaseRequest;
+import org.cowslipdale.daemon.peer.ViewUpdate;
 import org.cowslipdale.daemon.storage.ControlStore;
 import org.cowslipdale.daemon.version.VmClock;
 import org.junit.jupiter.api.AfterEach;
@@ -84,7 +91,8 @@
   @Test
   void ignoresReleaseSentBeforeRenewal() {
     LeaseRequest release =
-        new LeaseRequest(1, List.of(), List.of(), clock.millis(), true, PositionReport.NONE, null);
+        new LeaseRequest(
+            1, List.of(), List.of(), clock.millis(), true, PositionReport.NONE, null, false);
     LeaseRequest renewal =
         new LeaseRequest(
             1,
@@ -93,7 +101,8 @@
             release.sentMillis() + 1_000,
             false,
             PositionReport.NONE,
-            null);
+            null,
+            false);
 
     assertThat(voter.handleLeaseRequest(OTHER, renewal).granted(), is(true));
     voter.handleLeaseRequest(OTHER, release);
@@ -101,6 +110,52 @@
     assertThat(voter.queryFleet(new FleetQuery(2, 0, false)).waitingFor(), contains(OTHER));
   }
 
+  /**
+   * Guards against a leader that is busy encoding while all VMs wait for their first lease: the
+   * view is encoded once, not once for each VM.
+   */
+  @Test
+  void encodesTheSameUpdateOnce() throws Exception {
+    LeaseReply first = voter.handleLeaseRequest(OTHER, firstRequest(true));
+    LeaseReply second = voter.handleLeaseRequest(OTHER, firstRequest(true));
+
+    assertThat(second.encodedUpdate(), is(sameInstance(first.encodedUpdate())));
+    assertThat(first.commands(), is(empty()));
+    View updated = applied(first.update());
+    assertThat(updated.version(), is(first.update().targetVersion()));
+    assertThat(updated.vms().keySet(), hasItem(OTHER));
+  }
+
+  /** VMs of an earlier version read the commands or the view. */
+  @Test
+  void sendsPlainUpdateToVmThatReadsNoOther() throws Exception {
+    LeaseReply encoded = voter.handleLeaseRequest(OTHER, firstRequest(true));
+    LeaseReply plain = voter.handleLeaseRequest(OTHER, firstRequest(false));
+
+    assertThat(plain.encodedUpdate(), is(nullValue()));
+    assertThat(applied(plain.update()), is(applied(encoded.update())));
+  }
+
+  private LeaseRequest firstRequest(boolean acceptsEncodedUpdate) {
+    return new LeaseRequest(
+        0,
+        List.of(),
+        List.of(),
+        clock.millis(),
+        false,
+        PositionReport.NONE,
+        null,
+        acceptsEncodedUpdate);
+  }
+
+  private static View applied(ViewUpdate update) {
+    View view = update.view() == null ? View.EMPTY : update.view();
+    for (ViewCommand command : update.commands()) {
+      view = view.apply(command).view();
+    }
+    return view;
+  }
+
   /**
    * Guards against an operator's change that is never answered. Whether the command was stored is
    * unknown after a failed write.
