Relay announcements that change nothing less often to VMs that serve callers

Cause: every announcement of a server that only shows that it still runs went to every VM about once a second: servers times VMs messages, half of them to the other region. Change: VMs that serve callers get them four times before they would expire (every 3 s where they expire after 12 s); changes go to all VMs at once, and the control VMs, which wait for announcements during a promotion, get all as before. Result: AnnouncementRelayTests (8 relays of 8 before, 3 now to a VM that serves callers).

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/backend/BackendRegistry.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/backend/BackendRegistry.java
@@ -34,6 +34,11 @@
     this.expiryMillis = expiryMillis;
   }
 
+  /** Returns how long a server is retained after its latest announcement, in milliseconds. */
+  public long expiryMillis() {
+    return expiryMillis;
+  }
+
   /**
    * Adds an announcement unless it has expired, a newer one of the server is known, or another
    * server has replaced the server at its address. Removes the servers that the announcing server
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlPlane.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlPlane.java
@@ -151,7 +151,7 @@
         this.prober = null;
       }
     }
-    this.relay = new AnnouncementRelay(vm, registry, views, link::send, clock);
+    this.relay = new AnnouncementRelay(vm, registry, views, link::send, clock::millis);
     this.claimTable = new ClaimTable(clock.wallMillis());
     this.rateLimiter = new FleetRateLimiter(link, views, clock);
     this.requestClaims = new FleetClaims(link, views, clock);
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/AnnouncementRelayTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/AnnouncementRelayTests.java
@@ -3,9 +3,12 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import org.cowslipdale.core.backend.Announcement;
 import org.cowslipdale.core.backend.BackendRegistry;
 import org.cowslipdale.core.backend.ServerRole;
@@ -15,24 +18,16 @@
 import org.cowslipdale.core.view.VmRecord;
 import org.cowslipdale.daemon.peer.PeerMessage.Announcements;
 import org.cowslipdale.daemon.version.ViewHolder;
-import org.cowslipdale.daemon.version.VmClock;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class AnnouncementRelayTests {
 
-  private final VmClock clock = new VmClock();
-  private final ViewHolder views = new ViewHolder(clock.millis());
+  private final AtomicLong now = new AtomicLong(100_000);
+  private final ViewHolder views = new ViewHolder(now.get());
   private final List<String> sent = new ArrayList<>();
-  private final AnnouncementRelay relay =
-      new AnnouncementRelay(
-          "vm1",
-          new BackendRegistry(60_000),
-          views,
-          (to, message) ->
-              ((Announcements) message)
-                  .items()
-                  .forEach(item -> sent.add(to + " " + item.announcement().server())),
-          clock);
+  private final AnnouncementRelay relay = relay(60_000);
 
   /**
    * Guards against lost announcements after a restart of all VMs: servers announce themselves
@@ -62,10 +57,56 @@
     assertThat(sent, containsInAnyOrder("vm4 bonds-1", "vm4 bonds-2"));
   }
 
+  /**
+   * Guards against traffic that grows with servers times VMs: an announcement that only shows that
+   * a server still runs reaches the VMs that serve callers a few times before it expires there. The
+   * control leader waits for announcements and gets them sooner.
+   */
+  @ParameterizedTest
+  @CsvSource({"12000, 3", "3000, 8"})
+  void relaysUnchangedAnnouncementsToCallerVmsLessOften(long expiryMillis, int expectedRelays) {
+    AnnouncementRelay relay = relay(expiryMillis);
+    views.publish(view("vm1", "vm2", "control-1"), 0, 0);
+    for (int i = 1; i <= 8; i++) {
+      relay.addAnnouncement(announcement("bonds-1", i));
+      relay.sendPending();
+      now.addAndGet(1_200);
+    }
+
+    assertThat(Collections.frequency(sent, "control-1 bonds-1"), is(8));
+    assertThat(Collections.frequency(sent, "vm2 bonds-1"), is(expectedRelays));
+  }
+
+  @Test
+  void relaysChangesToAllVmsAtOnce() {
+    views.publish(view("vm1", "vm2", "control-1"), 0, 0);
+    relay.addAnnouncement(announcement("bonds-1", 1));
+    relay.sendPending();
+    sent.clear();
+
+    relay.addAnnouncement(announcement("bonds-1", 2).asLeaving());
+    relay.sendPending();
+
+    assertThat(sent, containsInAnyOrder("vm2 bonds-1", "control-1 bonds-1"));
+  }
+
+  private AnnouncementRelay relay(long expiryMillis) {
+    return new AnnouncementRelay(
+        "vm1",
+        new BackendRegistry(expiryMillis),
+        views,
+        (to, message) ->
+            ((Announcements) message)
+                .items()
+                .forEach(item -> sent.add(to + " " + item.announcement().server())),
+        now::get);
+  }
+
   private static View view(String... vms) {
     View view = View.EMPTY;
     for (String vm : vms) {
-      VmRecord self = new VmRecord(vm, "a", "r", "address", 0, Long.MAX_VALUE, true, true);
+      boolean servesCallers = !vm.startsWith("control");
+      VmRecord self = new VmRecord(vm, "a", "r", "address", 0, Long.MAX_VALUE, true, servesCallers);
       view = view.apply(new ViewCommand.RegisterVm(self, 1)).view();
     }
     return view;
