--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -62,6 +62,12 @@
   private static final Logger LOG = LoggerFactory.getLogger(Voter.class);
   private static final int ENTRIES_PER_SNAPSHOT = 500;
 
+  /**
+   * The number of configurations in the log at which a snapshot replaces them. Each contains the
+   * whole configuration, and all of them are read when the VM starts.
+   */
+  private static final int CONFIGURATIONS_PER_SNAPSHOT = 8;
+
   /** VMs from which a permit is recalled for each missing one; some have none to release. */
   private static final int RECALLS_PER_DEMAND = 2;
 
@@ -81,6 +87,7 @@
   private final ViewUpdates viewUpdates = new ViewUpdates(recentCommands);
   private ControlState state;
   private long appliedIndex;
+  private int configurationsSinceSnapshot;
   private @Nullable Leadership leadership;
   private boolean storageFailed;
 
@@ -422,6 +429,7 @@
     if (snapshot != null) {
       state = snapshot.state();
       appliedIndex = snapshot.index();
+      configurationsSinceSnapshot = 0;
       recentCommands.reset(state.view().version());
     }
     for (Output.OutboundMessage send : output.messages()) {
@@ -442,6 +450,9 @@
           .write();
     }
     if (entry.payload() instanceof LogEntry.Command logged) {
+      if (logged.command() instanceof ViewCommand.ReplaceConfiguration) {
+        configurationsSinceSnapshot++;
+      }
       ControlState.ApplyResult applied = state.apply(logged.command());
       state = applied.state();
       if (applied.viewChanged()) {
@@ -490,12 +501,14 @@
   }
 
   private void compactIfDue() {
-    if (appliedIndex - store.snapshot().index() < ENTRIES_PER_SNAPSHOT) {
+    if (appliedIndex - store.snapshot().index() < ENTRIES_PER_SNAPSHOT
+        && configurationsSinceSnapshot < CONFIGURATIONS_PER_SNAPSHOT) {
       return;
     }
     try {
       Snapshot snapshot = node.compact(state, appliedIndex);
       store.compact(snapshot, node.entriesAfterSnapshot());
+      configurationsSinceSnapshot = 0;
     } catch (StorageException e) {
       LOG.error("Failed to store the snapshot; this VM stops voting", e);
       stopVoting();
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
@@ -3,8 +3,10 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.nullValue;
 import static org.hamcrest.Matchers.sameInstance;
 
@@ -17,6 +19,8 @@
 import org.cowslipdale.core.failover.PromotionMode;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.routing.PositionReport;
+import org.cowslipdale.core.view.Configuration;
+import org.cowslipdale.core.view.DeclaredDocument;
 import org.cowslipdale.core.view.View;
 import org.cowslipdale.core.view.ViewCommand;
 import org.cowslipdale.core.view.VmRecord;
@@ -156,6 +160,21 @@
     return view;
   }
 
+  /**
+   * Guards against long starts after many changes of the configuration. Each change stores the
+   * whole configuration, and a start reads every entry after the snapshot.
+   */
+  @Test
+  void fewConfigurationsRemainInTheLog() throws Exception {
+    for (int version = 1; version <= 40; version++) {
+      DeclaredDocument document = new DeclaredDocument(version, "{}");
+      voter.propose(new ViewCommand.ReplaceConfiguration(document, Configuration.EMPTY, List.of()));
+    }
+
+    assertThat(store.entries().size(), is(lessThan(20)));
+    assertThat(store.snapshot().state().view().document().version(), is(greaterThan(30L)));
+  }
+
   /**
    * Guards against an operator's change that is never answered. Whether the command was stored is
    * unknown after a failed write.
