--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerConnection.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerConnection.java
@@ -14,7 +14,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicLong;
 import org.cowslipdale.daemon.version.VmClock;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -46,7 +45,7 @@
   private final VmClock clock;
   private final String address;
   private final PeerMessage.Hello hello;
-  private final AtomicLong sentBytes;
+  private final PeerTraffic traffic;
   private final Context context;
   private final NetClient client;
   private final List<PeerFrame> pendingFrames = new ArrayList<>();
@@ -66,12 +65,12 @@
   private record PendingRequest(CompletableFuture<PeerMessage> reply) {}
 
   PeerConnection(
-      Vertx vertx, VmClock clock, String address, PeerMessage.Hello hello, AtomicLong sentBytes) {
+      Vertx vertx, VmClock clock, String address, PeerMessage.Hello hello, PeerTraffic traffic) {
     this.vertx = requireNonNull(vertx, "vertx");
     this.clock = requireNonNull(clock, "clock");
     this.address = requireNonNull(address, "address");
     this.hello = requireNonNull(hello, "hello");
-    this.sentBytes = requireNonNull(sentBytes, "sentBytes");
+    this.traffic = requireNonNull(traffic, "traffic");
     this.context = vertx.getOrCreateContext();
     this.client =
         vertx.createNetClient(
@@ -207,7 +206,7 @@
       connect();
       return;
     }
-    sentBytes.addAndGet(FrameCodec.heartbeat().length());
+    traffic.recordSent(PeerTraffic.HEARTBEAT, FrameCodec.heartbeat().length());
     socket.write(FrameCodec.heartbeat());
   }
 
@@ -231,7 +230,7 @@
   private void writeTo(NetSocket target, PeerFrame frame) {
     try {
       Buffer encoded = FrameCodec.encode(frame);
-      sentBytes.addAndGet(encoded.length());
+      traffic.recordSent(frame.message(), encoded.length());
       target.write(encoded);
     } catch (IOException e) {
       throw new IllegalStateException("a peer message cannot be encoded", e);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerNetwork.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerNetwork.java
@@ -18,7 +18,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
@@ -42,7 +41,7 @@
   private final Vertx vertx;
   private final VmClock clock;
   private final Function<String, Optional<String>> addressLookup;
-  private final AtomicLong sentBytes;
+  private final PeerTraffic traffic;
   private final Map<String, PeerConnection> connections = new ConcurrentHashMap<>();
   private volatile PeerHandler handler = (from, message, reply) -> {};
   private final NetServer server;
@@ -55,7 +54,7 @@
    * @param vertx the Vert.x instance whose event loops do the I/O
    * @param clock the clocks of this VM
    * @param addressLookup returns the address of a VM by its name
-   * @param sentBytes the counter of the bytes sent
+   * @param traffic counts the bytes sent
    */
   public PeerNetwork(
       String localVm,
@@ -63,13 +62,13 @@
       Vertx vertx,
       VmClock clock,
       Function<String, Optional<String>> addressLookup,
-      AtomicLong sentBytes) {
+      PeerTraffic traffic) {
     this.localVm = requireNonNull(localVm, "localVm");
     this.proof = createProof(clusterSecret);
     this.vertx = requireNonNull(vertx, "vertx");
     this.clock = requireNonNull(clock, "clock");
     this.addressLookup = requireNonNull(addressLookup, "addressLookup");
-    this.sentBytes = requireNonNull(sentBytes, "sentBytes");
+    this.traffic = requireNonNull(traffic, "traffic");
     this.server =
         vertx
             .createNetServer(new NetServerOptions().setTcpNoDelay(true))
@@ -143,7 +142,7 @@
                 current.close();
               }
               PeerMessage.Hello hello = new PeerMessage.Hello(localVm, proof);
-              return new PeerConnection(vertx, clock, address.get(), hello, sentBytes);
+              return new PeerConnection(vertx, clock, address.get(), hello, traffic);
             }));
   }
 
@@ -181,7 +180,8 @@
     private void handlePayload(Buffer payload) {
       lastReceivedMillis = clock.millis();
       if (payload.length() == 0) {
-        write(FrameCodec.heartbeat());
+        traffic.recordSent(PeerTraffic.HEARTBEAT, FrameCodec.heartbeat().length());
+        socket.write(FrameCodec.heartbeat());
         return;
       }
       try {
@@ -213,16 +213,13 @@
         return CompletableFuture.completedFuture(null);
       }
       try {
-        return write(FrameCodec.encode(new PeerFrame(request.correlationId(), true, message)));
+        Buffer encoded = FrameCodec.encode(new PeerFrame(request.correlationId(), true, message));
+        traffic.recordSent(message, encoded.length());
+        return socket.write(encoded).toCompletionStage();
       } catch (IOException e) {
         throw new IllegalStateException("a peer message cannot be encoded", e);
       }
     }
-
-    private CompletionStage<Void> write(Buffer frame) {
-      sentBytes.addAndGet(frame.length());
-      return socket.write(frame).toCompletionStage();
-    }
   }
 
   /**
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
@@ -10,7 +10,6 @@
 import io.vertx.core.VertxOptions;
 import java.nio.file.Path;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicLong;
 import org.cowslipdale.config.ini.SectionReader;
 import org.cowslipdale.config.settings.DaemonSettings;
 import org.cowslipdale.core.backend.BackendRegistry;
@@ -19,6 +18,7 @@
 import org.cowslipdale.daemon.adapter.Adapter;
 import org.cowslipdale.daemon.control.ControlPlane;
 import org.cowslipdale.daemon.peer.PeerNetwork;
+import org.cowslipdale.daemon.peer.PeerTraffic;
 import org.cowslipdale.daemon.storage.ControlStore;
 import org.cowslipdale.daemon.telemetry.CountingAppender;
 import org.cowslipdale.daemon.telemetry.DecisionLog;
@@ -84,7 +84,6 @@
             ? new SessionFrontend(
                 vertx, adapter.get(), settings, views, registry, meters, readiness, clock)
             : new HttpFrontend(vertx, settings, views, registry, meters, tracing, clock);
-    AtomicLong peerBytes = new AtomicLong();
     PeerNetwork network =
         new PeerNetwork(
             settings.vm().name(),
@@ -92,7 +91,7 @@
             vertx,
             clock,
             this::peerAddress,
-            peerBytes);
+            new PeerTraffic(meters));
     this.control =
         new ControlPlane(
             settings,
@@ -110,7 +109,7 @@
     frontend.initialize(control);
     this.admin =
         new AdminServer(vertx, settings, control, views, registry, readiness, meters, clock);
-    registerMeters(peerBytes);
+    registerMeters();
   }
 
   private static ControlStore openStore(DaemonSettings settings) throws CowslipException {
@@ -233,7 +232,7 @@
         .map(settings::translate);
   }
 
-  private void registerMeters(AtomicLong peerBytes) {
+  private void registerMeters() {
     Gauge.builder(
             "cowslipdale.heap.used.bytes",
             Runtime.getRuntime(),
@@ -254,9 +253,6 @@
             "cowslipdale.log.dropped.lines", meters, ignored -> CountingAppender.droppedLines())
         .description("Log lines that were dropped because the output could not keep up")
         .register(meters);
-    Gauge.builder("cowslipdale.peer.sent.bytes", peerBytes, bytes -> (double) bytes.get())
-        .description("Bytes sent to other VMs since the start")
-        .register(meters);
   }
 
   private void sleepUntil(long untilMillis) {
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/ControlLinkTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/ControlLinkTests.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.instanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.vertx.core.Vertx;
 import java.util.Optional;
 import java.util.Set;
@@ -11,9 +12,9 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicLong;
 import org.cowslipdale.daemon.peer.PeerMessage;
 import org.cowslipdale.daemon.peer.PeerNetwork;
+import org.cowslipdale.daemon.peer.PeerTraffic;
 import org.cowslipdale.daemon.version.VmClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -25,7 +26,13 @@
 
   private final Vertx vertx = Vertx.vertx();
   private final PeerNetwork network =
-      new PeerNetwork(SELF, "", vertx, new VmClock(), vm -> Optional.empty(), new AtomicLong());
+      new PeerNetwork(
+          SELF,
+          "",
+          vertx,
+          new VmClock(),
+          vm -> Optional.empty(),
+          new PeerTraffic(new SimpleMeterRegistry()));
   private final ControlLink link = new ControlLink(SELF, network, Set.of(SELF));
 
   @AfterEach
--- a/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/bench/BenchMain.java
+++ b/cowslipdale-testsupport/src/main/java/org/cowslipdale/testsupport/bench/BenchMain.java
@@ -156,7 +156,7 @@
       samples.add(
           new Sample(
               vm.spec().name(),
-              readMetric(vm, "cowslipdale_peer_sent_bytes"),
+              sumOfMetric(vm, "cowslipdale_peer_sent_bytes_total"),
               ProcessStats.read(vm.process().pid())));
     }
     return samples;
@@ -249,16 +249,16 @@
         .putHeader("Authorization", "Bearer " + key);
   }
 
-  private double readMetric(Fleet.Vm vm, String name) throws IOException {
+  /** Returns the sum of a counter over all values of its labels. */
+  private double sumOfMetric(Fleet.Vm vm, String name) throws IOException {
     HttpRequest request =
         HttpRequest.newBuilder(URI.create("http://" + vm.adminAddress() + "/metrics")).build();
     try {
       String text = client.send(request, BodyHandlers.ofString()).body();
       return text.lines()
-          .filter(line -> line.startsWith(name + " "))
-          .mapToDouble(line -> Double.parseDouble(line.substring(name.length() + 1)))
-          .findFirst()
-          .orElse(0);
+          .filter(line -> line.startsWith(name + "{"))
+          .mapToDouble(line -> Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1)))
+          .sum();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       return 0;
