Announce configurations in quick succession together

Cause: each change of the configuration was announced to all VMs, and each of them requested it at once; a storm of 25 changes in 1.5 s sent the whole configuration 25 times to every VM. Change: after an announcement the next changed configurations are announced 400 ms later at the earliest, together. Terms, members and everything else are announced at once as before. Result: VoterTests.announcesConfigurationsInQuickSuccessionTogether failed without the interval (40 announcements) and passes.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -68,6 +68,12 @@
    */
   private static final int CONFIGURATIONS_PER_SNAPSHOT = 8;
 
+  /**
+   * The minimum interval between two notifications of changed configurations; far below the time in
+   * which a configuration must be in force.
+   */
+  private static final long CONFIGURATION_BROADCAST_INTERVAL_MILLIS = 400;
+
   /** VMs from which a permit is recalled for each missing one; some have none to release. */
   private static final int RECALLS_PER_DEMAND = 2;
 
@@ -88,6 +94,8 @@
   private ControlState state;
   private long appliedIndex;
   private int configurationsSinceSnapshot;
+  private boolean broadcastPending;
+  private long lastBroadcastMillis = Long.MIN_VALUE / 2;
   private @Nullable Leadership leadership;
   private boolean storageFailed;
 
@@ -136,6 +144,7 @@
       if (current.recordFirstLease()) {
         broadcastVersion();
       }
+      broadcastIfDue();
       tickFailover(current, now);
       answerPermitDemands(current);
     }
@@ -489,13 +498,28 @@
           .with("server", complete.primary())
           .write();
     }
-    broadcastVersion();
+    broadcastPending = true;
+    if (!(command instanceof ViewCommand.ReplaceConfiguration)) {
+      broadcastVersion();
+    } else {
+      broadcastIfDue();
+    }
+  }
+
+  /** Notifies the VMs of changed configurations unless they were notified a short time ago. */
+  private void broadcastIfDue() {
+    if (broadcastPending
+        && clock.millis() - lastBroadcastMillis >= CONFIGURATION_BROADCAST_INTERVAL_MILLIS) {
+      broadcastVersion();
+    }
   }
 
   /**
    * Notifies all active VMs of the version of the view; those with an older one request it at once.
    */
   private void broadcastVersion() {
+    broadcastPending = false;
+    lastBroadcastMillis = clock.millis();
     PeerMessage update = new PeerMessage.ViewChanged(state.view().version());
     state.view().activeVms().forEach(member -> sender.send(member.name(), update));
   }
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
@@ -10,7 +10,9 @@
 import static org.hamcrest.Matchers.nullValue;
 import static org.hamcrest.Matchers.sameInstance;
 
+import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -25,6 +27,7 @@
 import org.cowslipdale.core.view.ViewCommand;
 import org.cowslipdale.core.view.VmRecord;
 import org.cowslipdale.daemon.connection.BackendException;
+import org.cowslipdale.daemon.peer.PeerMessage;
 import org.cowslipdale.daemon.peer.PeerMessage.ChangeReply;
 import org.cowslipdale.daemon.peer.PeerMessage.FleetQuery;
 import org.cowslipdale.daemon.peer.PeerMessage.LeaseReply;
@@ -47,6 +50,7 @@
   private final ControlThread control = new ControlThread();
   @TempDir private Path folder;
   private ControlStore store;
+  private final List<Long> announcedVersions = new ArrayList<>();
   private Voter voter;
 
   @BeforeEach
@@ -73,7 +77,7 @@
             new FailoverExecutor(LEADER, access, control),
             new PromotionMode.ByService(),
             clock,
-            (to, message) -> {},
+            this::recordAnnouncement,
             () -> {});
     for (int i = 0; i < 100 && !isLeader(); i++) {
       Thread.sleep(10);
@@ -175,6 +179,31 @@
     assertThat(store.snapshot().state().view().document().version(), is(greaterThan(30L)));
   }
 
+  /**
+   * Guards against traffic that grows with the changes of the configuration times the VMs: each VM
+   * that learns of a version requests all of it at once.
+   */
+  @Test
+  void announcesConfigurationsInQuickSuccessionTogether() throws Exception {
+    voter.handleLeaseRequest(OTHER, firstRequest(true));
+    announcedVersions.clear();
+    for (int version = 1; version <= 40; version++) {
+      DeclaredDocument document = new DeclaredDocument(version, "{}");
+      voter.propose(new ViewCommand.ReplaceConfiguration(document, Configuration.EMPTY, List.of()));
+    }
+    for (int i = 0; i < 60; i++) {
+      Thread.sleep(10);
+      voter.tick();
+    }
+
+    assertThat(announcedVersions.size(), is(lessThan(6)));
+    assertThat(announcedVersions.getLast(), is(applied(currentUpdate()).version()));
+  }
+
+  private ViewUpdate currentUpdate() throws IOException {
+    return voter.handleLeaseRequest(OTHER, firstRequest(true)).update();
+  }
+
   /**
    * Guards against an operator's change that is never answered. Whether the command was stored is
    * unknown after a failed write.
@@ -192,6 +221,12 @@
     assertThat(reply.get().failure(), is(ResultCode.CHANGE_OUTCOME_UNKNOWN));
   }
 
+  private void recordAnnouncement(String recipient, PeerMessage message) {
+    if (recipient.equals(OTHER) && message instanceof PeerMessage.ViewChanged change) {
+      announcedVersions.add(change.version());
+    }
+  }
+
   private boolean isLeader() {
     return voter.queryFleet(new FleetQuery(0, 0, false)).leader() != null;
   }
