Send each log entry once to each follower unless it was lost

Cause: the leader sent all entries that a follower had not acknowledged with every proposal and every heartbeat. Change: the leader counts entries as sent. A follower that misses some rejects the next request, at the latest the next heartbeat, and gets them again; rejections of requests from before that are ignored. Result: ConsensusNodeTests.sendsEachEntryOnceToEachFollower (420 entries sent before, 40 now); the tests with lost and reordered messages pass as before.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusNode.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusNode.java
@@ -91,8 +91,14 @@
   /** The replication progress of another member, as known to the leader. */
   private static final class Progress {
 
+    /** The first entry to send next. The entries before it were sent, but may have been lost. */
     private long nextIndex;
+
     private long matchIndex;
+
+    /** When entries were last sent again; rejections of earlier requests are outdated. */
+    private long resentMillis = Long.MIN_VALUE;
+
     private long acknowledgedSentMillis = Long.MIN_VALUE;
     private long lastContactMillis;
     private @Nullable String identity;
@@ -593,14 +599,14 @@
     }
     if (reply.success()) {
       progress.matchIndex = Math.max(progress.matchIndex, reply.matchIndex());
-      boolean behind = progress.nextIndex <= log.lastIndex();
       progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
       advanceCommit(now);
-      if (behind && progress.nextIndex <= log.lastIndex()) {
+      if (progress.nextIndex <= log.lastIndex()) {
         sendTo(reply.follower().name(), progress, now);
       }
-    } else {
+    } else if (reply.sentMillis() >= progress.resentMillis) {
       progress.nextIndex = Math.max(1, Math.min(progress.nextIndex - 1, reply.matchIndex() + 1));
+      progress.resentMillis = now;
       sendTo(reply.follower().name(), progress, now);
     }
   }
@@ -610,6 +616,10 @@
     followers.forEach((name, progress) -> sendTo(name, progress, now));
   }
 
+  /**
+   * Sends the next entries without waiting for earlier ones to be acknowledged. If some were lost,
+   * the follower rejects this or the next request, and they are sent again.
+   */
   private void sendTo(String name, Progress progress, long now) {
     long previous = progress.nextIndex - 1;
     if (previous < log.snapshot().index()) {
@@ -622,6 +632,7 @@
     AppendRequest request =
         new AppendRequest(term, self, previous, log.termAt(previous), entries, commitIndex, now);
     messages.add(new OutboundMessage(name, request));
+    progress.nextIndex = last + 1;
   }
 
   /**
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/consensus/ConsensusNodeTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/consensus/ConsensusNodeTests.java
@@ -43,6 +43,29 @@
     }
   }
 
+  /**
+   * Guards against traffic that grows with the square of the proposals in a round trip: each one
+   * must not repeat all entries that no follower has acknowledged yet.
+   */
+  @Test
+  void sendsEachEntryOnceToEachFollower() {
+    FakeVoters voters = new FakeVoters(1, "vm1", "vm2", "vm3");
+    Member leader = voters.awaitLeader(MAX_WAIT_MILLIS);
+    voters.run(1_000);
+
+    int sent = 0;
+    for (int i = 0; i < 20; i++) {
+      Output output = leader.node.propose(new LogEntry.Command(addKey()), voters.now());
+      for (Output.OutboundMessage outbound : output.messages()) {
+        if (outbound.message() instanceof AppendRequest request) {
+          sent += request.entries().size();
+        }
+      }
+    }
+
+    assertThat(sent, is(40));
+  }
+
   @Test
   void isolatedLeaderLosesLeaseBeforeNextElection() {
     FakeVoters voters = new FakeVoters(2, "vm1", "vm2", "vm3");
