--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -69,10 +69,10 @@
   private static final int CONFIGURATIONS_PER_SNAPSHOT = 8;
 
   /**
-   * The minimum interval between two notifications of changed configurations; far below the time in
-   * which a configuration must be in force.
+   * The minimum interval between two notifications of changed configurations and members; far below
+   * the time in which a configuration must be in force.
    */
-  private static final long CONFIGURATION_BROADCAST_INTERVAL_MILLIS = 400;
+  private static final long DEFERRED_BROADCAST_INTERVAL_MILLIS = 400;
 
   /** VMs from which a permit is recalled for each missing one; some have none to release. */
   private static final int RECALLS_PER_DEMAND = 2;
@@ -499,17 +499,23 @@
           .write();
     }
     broadcastPending = true;
-    if (!(command instanceof ViewCommand.ReplaceConfiguration)) {
-      broadcastVersion();
-    } else {
+    if (isDeferrable(command)) {
       broadcastIfDue();
+    } else {
+      broadcastVersion();
     }
   }
 
-  /** Notifies the VMs of changed configurations unless they were notified a short time ago. */
+  /** Returns whether no VM waits for a change; many such changes may follow each other. */
+  private static boolean isDeferrable(ViewCommand command) {
+    return command instanceof ViewCommand.ReplaceConfiguration
+        || command instanceof ViewCommand.RegisterVm;
+  }
+
+  /** Notifies the VMs of deferred changes unless they were notified a short time ago. */
   private void broadcastIfDue() {
     if (broadcastPending
-        && clock.millis() - lastBroadcastMillis >= CONFIGURATION_BROADCAST_INTERVAL_MILLIS) {
+        && clock.millis() - lastBroadcastMillis >= DEFERRED_BROADCAST_INTERVAL_MILLIS) {
       broadcastVersion();
     }
   }
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
@@ -83,7 +83,7 @@
       Thread.sleep(10);
       voter.tick();
     }
-    voter.register(new VmRecord(OTHER, "a", "r", "address", 0, Long.MAX_VALUE, true, true));
+    voter.register(vmRecord(OTHER));
   }
 
   @AfterEach
@@ -180,8 +180,8 @@
   }
 
   /**
-   * Guards against traffic that grows with the changes of the configuration times the VMs: each VM
-   * that learns of a version requests all of it at once.
+   * Guards against traffic that grows with the changes times the VMs, or with the square of the VMs
+   * when all of them register: each VM that learns of a version requests it at once.
    */
   @Test
   void announcesConfigurationsInQuickSuccessionTogether() throws Exception {
@@ -213,9 +213,7 @@
     store.close();
 
     CompletableFuture<ChangeReply> reply =
-        voter.propose(
-            new ViewCommand.RegisterVm(
-                new VmRecord("vm3", "a", "r", "address", 0, Long.MAX_VALUE, true, true), 0));
+        voter.propose(new ViewCommand.RegisterVm(vmRecord("vm3"), 0));
 
     assertThat(reply.isDone(), is(true));
     assertThat(reply.get().failure(), is(ResultCode.CHANGE_OUTCOME_UNKNOWN));
@@ -227,6 +225,10 @@
     }
   }
 
+  private static VmRecord vmRecord(String name) {
+    return new VmRecord(name, "a", "r", "address", 0, Long.MAX_VALUE, true, true);
+  }
+
   private boolean isLeader() {
     return voter.queryFleet(new FleetQuery(0, 0, false)).leader() != null;
   }
