Prefer the server that has an idle connection of the customer

Cause: a connection belongs to one customer. Change: among servers of the region with equal load, one with an idle connection of the customer comes before the failure domain and the fixed preference of the VM. Result: SessionRouterTests.prefersServerWithIdleConnectionOfTheCustomer failed without it and passes.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/ServerLoad.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/ServerLoad.java
@@ -12,6 +12,14 @@
    */
   int outstanding(String server);
 
+  /**
+   * Returns whether a statement of a customer would find an idle connection of its own to a server.
+   *
+   * @param server the name of the server
+   * @param customer the name of the customer
+   */
+  boolean hasIdleConnection(String server, String customer);
+
   /**
    * Returns whether a server should be avoided because of repeated failures.
    *
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionDemand.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionDemand.java
@@ -9,16 +9,22 @@
 /**
  * The requirements of a statement or transaction of a session on the server that runs it.
  *
+ * @param customer the name of the customer whose connection is used
  * @param write whether the statement or transaction may write
  * @param freshness how recent the data of its reads must be
  * @param sessionPosition the log position of the session's latest commit
  * @param triedServers the names of the servers that have already rejected it
  */
 public record SessionDemand(
-    boolean write, Freshness freshness, LogPosition sessionPosition, Set<String> triedServers) {
+    String customer,
+    boolean write,
+    Freshness freshness,
+    LogPosition sessionPosition,
+    Set<String> triedServers) {
 
   /** Copies the set and checks that no component is null. */
   public SessionDemand {
+    requireNonNull(customer, "customer");
     requireNonNull(freshness, "freshness");
     requireNonNull(sessionPosition, "sessionPosition");
     triedServers = Set.copyOf(triedServers);
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
@@ -227,7 +227,7 @@
       }
     }
     return candidates.stream()
-        .min(preference(state, now))
+        .min(preference(demand.customer(), state, now))
         .flatMap(server -> confirm(server, demand, state, lease, history, now));
   }
 
@@ -241,14 +241,16 @@
 
   /**
    * Prefers servers that were not busy recently, then this region, then the lowest load, where the
-   * primary counts as busier, then this failure domain. Among servers that are equal in all of
-   * these, each VM has a fixed preference of its own: a VM reuses its connections, and all VMs
-   * together use all servers.
+   * primary counts as busier, then an idle connection of the customer, since opening one occupies
+   * the server, then this failure domain. Among servers that are equal in all of these, each VM has
+   * a fixed preference of its own: a VM reuses its connections, and all VMs together use all
+   * servers.
    */
-  private Comparator<BackendServer> preference(DatabaseState state, long now) {
+  private Comparator<BackendServer> preference(String customer, DatabaseState state, long now) {
     return Comparator.comparing((BackendServer server) -> backoff.isOverloaded(server.name(), now))
         .thenComparing(server -> !isInRegion(server))
         .thenComparingInt(server -> loadSteps(server, state))
+        .thenComparing(server -> !load.hasIdleConnection(server.name(), customer))
         .thenComparing(server -> !server.announcement().failureDomain().equals(failureDomain))
         .thenComparingLong(server -> Placement.score(vm, server.name()));
   }
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/DefaultRouterTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/DefaultRouterTests.java
@@ -42,6 +42,11 @@
       return 0;
     }
 
+    @Override
+    public boolean hasIdleConnection(String server, String customer) {
+      return false;
+    }
+
     @Override
     public boolean isEjected(String server, Collection<String> group, long now) {
       return false;
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/FleetPositionsTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/FleetPositionsTests.java
@@ -195,7 +195,8 @@
       return;
     }
     SessionDemand demand =
-        new SessionDemand(false, new Freshness.BoundedAge(1_500), LogPosition.ZERO, Set.of());
+        new SessionDemand(
+            "acme", false, new Freshness.BoundedAge(1_500), LogPosition.ZERO, Set.of());
     SessionTarget target =
         router.route(
             demand,
@@ -295,6 +296,11 @@
       return 0;
     }
 
+    @Override
+    public boolean hasIdleConnection(String server, String customer) {
+      return false;
+    }
+
     @Override
     public boolean isEjected(String server, Collection<String> group, long now) {
       return false;
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterTests.java
@@ -32,6 +32,7 @@
 class SessionRouterTests {
 
   private static final long NOW = 100_000;
+  private static final String CUSTOMER = "acme";
   private static final LeaseStatus VALID_LEASE = new LeaseStatus(NOW + 1_000);
   private static final LeaseStatus EXPIRED_LEASE = new LeaseStatus(NOW - 1);
   private static final Freshness BOUNDED_AGE = new Freshness.BoundedAge(1_500);
@@ -41,6 +42,7 @@
   private final ReplicaLagTracker replicaLag = new ReplicaLagTracker();
   private final ServerBackoff backoff = new ServerBackoff(new Random(1));
   private final Set<String> ejected = new HashSet<>();
+  private final Set<String> warm = new HashSet<>();
   private final DatabaseState state = new DatabaseState(2, "bonds-1", List.of(new TermStart(2, 0)));
   private final SessionRouter router =
       new SessionRouter(
@@ -53,6 +55,11 @@
       return 0;
     }
 
+    @Override
+    public boolean hasIdleConnection(String server, String customer) {
+      return customer.equals(CUSTOMER) && warm.contains(server);
+    }
+
     @Override
     public boolean isEjected(String server, Collection<String> group, long now) {
       return ejected.contains(server);
@@ -122,7 +129,8 @@
   @Test
   void readsRequireSessionPosition() {
     addSample(NOW - 1_200, 65);
-    SessionDemand demand = new SessionDemand(false, BOUNDED_AGE, new LogPosition(3, 80), Set.of());
+    SessionDemand demand =
+        new SessionDemand(CUSTOMER, false, BOUNDED_AGE, new LogPosition(3, 80), Set.of());
 
     assertThat(((RunOn) route(demand, VALID_LEASE)).minPosition(), is(new LogPosition(3, 80)));
   }
@@ -130,7 +138,8 @@
   @Test
   void positionOfLaterTermCoversPositionOfEarlierTerm() {
     addSample(NOW - 1_200, 65);
-    SessionDemand demand = new SessionDemand(false, BOUNDED_AGE, new LogPosition(2, 500), Set.of());
+    SessionDemand demand =
+        new SessionDemand(CUSTOMER, false, BOUNDED_AGE, new LogPosition(2, 500), Set.of());
 
     assertThat(((RunOn) route(demand, VALID_LEASE)).minPosition(), is(new LogPosition(3, 65)));
   }
@@ -255,6 +264,24 @@
     assertThat(used, is(Set.of("bonds-2", "bonds-4")));
   }
 
+  /**
+   * Guards against a new connection for nearly every statement: with few connections to each server
+   * and more customers, a fixed preference for one server replaces them all the time.
+   */
+  @Test
+  void prefersServerWithIdleConnectionOfTheCustomer() {
+    addSample(NOW - 1_200, 65);
+    announce("bonds-4", "domain-d", "north", ServerRole.REPLICA, false, 1);
+    assertThat(serverName(route(read(BOUNDED_AGE), VALID_LEASE)), is("bonds-2"));
+
+    warm.add("bonds-4");
+    assertThat(serverName(route(read(BOUNDED_AGE), VALID_LEASE)), is("bonds-4"));
+
+    warm.add("bonds-2");
+    warm.add("bonds-3");
+    assertThat(serverName(route(read(BOUNDED_AGE), VALID_LEASE)), is("bonds-2"));
+  }
+
   @Test
   void avoidsLeavingEjectedAndTriedServers() {
     addSample(NOW - 1_200, 65);
@@ -265,7 +292,7 @@
     assertThat(serverName(route(read(BOUNDED_AGE), VALID_LEASE)), is("bonds-3"));
 
     SessionDemand demand =
-        new SessionDemand(false, BOUNDED_AGE, LogPosition.ZERO, Set.of("bonds-3"));
+        new SessionDemand(CUSTOMER, false, BOUNDED_AGE, LogPosition.ZERO, Set.of("bonds-3"));
     RunOn target = (RunOn) route(demand, VALID_LEASE);
     assertThat(target.server().name(), is("bonds-1"));
     assertThat(target.minPosition(), is(nullValue()));
@@ -300,11 +327,11 @@
   }
 
   private static SessionDemand write() {
-    return new SessionDemand(true, new Freshness.Latest(), LogPosition.ZERO, Set.of());
+    return new SessionDemand(CUSTOMER, true, new Freshness.Latest(), LogPosition.ZERO, Set.of());
   }
 
   private static SessionDemand read(Freshness freshness) {
-    return new SessionDemand(false, freshness, LogPosition.ZERO, Set.of());
+    return new SessionDemand(CUSTOMER, false, freshness, LogPosition.ZERO, Set.of());
   }
 
   private static String serverName(SessionTarget target) {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/BackendPools.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/BackendPools.java
@@ -81,6 +81,12 @@
     return pool == null ? 0 : pool.outstanding();
   }
 
+  /** Returns true, because any customer may use any connection. */
+  @Override
+  public boolean hasIdleConnection(String server, String customer) {
+    return true;
+  }
+
   @Override
   public boolean isEjected(String server, Collection<String> group, long now) {
     return health.isEjected(server, group, now);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
@@ -63,6 +63,11 @@
     return queue.outstanding();
   }
 
+  /** Returns whether a connection of a customer is idle. */
+  synchronized boolean hasIdle(String customer) {
+    return idle.stream().anyMatch(session -> session.customer().equals(customer));
+  }
+
   void resize(int newShare, int newCapacity) {
     share = newShare;
     capacity = newCapacity;
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
@@ -110,6 +110,12 @@
     return pool == null ? 0 : pool.outstanding();
   }
 
+  @Override
+  public boolean hasIdleConnection(String server, String customer) {
+    SessionPool pool = pools.get(server);
+    return pool != null && pool.hasIdle(customer);
+  }
+
   @Override
   public boolean isEjected(String server, Collection<String> group, long now) {
     return health.isEjected(server, group, now);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -359,6 +359,7 @@
 
     private SessionDemand createDemand() {
       return new SessionDemand(
+          request.operation().customer(),
           request.isWrite(),
           request.operation().route().freshness(),
           request.lastCommittedPosition(),
