Let a customer keep its connection for a turn of four requests

Cause: connections belong to customers, and under the worst load customers wait in turn for few of them, so every request replaced the connection of another customer. Load pattern: several customers with waiting requests before one server, fewer connections than customers. Change: a released connection serves the next request of its customer, up to four in a turn, before the next customer has its turn.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/admission/SlotQueue.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/admission/SlotQueue.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,9 +14,11 @@
  * Assigns a limited number of slots of one backend server to requests that wait for them.
  *
  * <p>Under the fair policy customers take turns, so a customer with many waiting requests delays
- * another by at most one request per turn. This policy also refuses a request at once, before it
- * uses any resources, if the request is expected to miss its deadline. This class is safe for use
- * by several threads.
+ * another by at most one request per turn, or by at most {@link #MAX_TURN_REQUESTS} where the
+ * released slot has a connection that only the same customer can use again: when many customers
+ * wait for few connections, replacing one for each request would take as long as the requests
+ * themselves. This policy also refuses a request at once, before it uses any resources, if the
+ * request is expected to miss its deadline. This class is safe for use by several threads.
  *
  * @param <T> the payload with which the caller continues a request
  */
@@ -25,9 +28,16 @@
   private static final double INITIAL_SERVICE_MILLIS = 2;
   private static final String SHARED_QUEUE = "";
 
+  /** The maximum number of requests that a customer sends over one connection in its turn. */
+  static final int MAX_TURN_REQUESTS = 4;
+
   private final QueuePolicy policy;
   private final int maxQueued;
   private final Map<String, Deque<Ticket<T>>> waiting = new LinkedHashMap<>();
+
+  /** How many requests of the current turn of a waiting customer were dispatched. */
+  private final Map<String, Integer> turnRequests = new HashMap<>();
+
   private int slots;
   private int running;
   private int queued;
@@ -84,9 +94,36 @@
    * @param now the current time on the VM's monotonic clock, in milliseconds
    */
   public synchronized Progress<T> release(double usedMillis, long now) {
+    recordRelease(usedMillis);
+    return advance(now);
+  }
+
+  /**
+   * Releases a slot whose connection only one customer can use again, and assigns it to the next
+   * request of that customer if its turn is not over, otherwise as {@link #release(double, long)}.
+   *
+   * @param customer the name of the customer
+   * @param usedMillis how long the slot was in use, in milliseconds
+   * @param now the current time on the VM's monotonic clock, in milliseconds
+   */
+  public synchronized Progress<T> releaseConnection(String customer, double usedMillis, long now) {
+    recordRelease(usedMillis);
+    List<Ticket<T>> expired = removeExpired(now);
+    List<Ticket<T>> dispatched = new ArrayList<>();
+    int turn = turnRequests.getOrDefault(customer, 1);
+    if (running < slots && waiting.containsKey(customer) && turn < MAX_TURN_REQUESTS) {
+      dispatched.add(removeFirstOf(customer));
+      turnRequests.put(customer, turn + 1);
+      running++;
+    }
+    Progress<T> rest = advance(now);
+    dispatched.addAll(rest.dispatched());
+    return new Progress<>(dispatched, expired);
+  }
+
+  private void recordRelease(double usedMillis) {
     running--;
     meanServiceMillis += SMOOTHING_FACTOR * (usedMillis - meanServiceMillis);
-    return advance(now);
   }
 
   /**
@@ -164,18 +201,31 @@
     }
     queued -= expired.size();
     waiting.values().removeIf(Deque::isEmpty);
+    turnRequests.keySet().retainAll(waiting.keySet());
     return expired;
   }
 
-  /** Removes the first request of the first customer and moves that customer to the end. */
+  /**
+   * Removes the first request of the first customer, whose turn begins, and moves it to the end.
+   */
   private Ticket<T> removeNext() {
-    Map.Entry<String, Deque<Ticket<T>>> first = waiting.entrySet().iterator().next();
-    String customer = first.getKey();
-    Deque<Ticket<T>> queue = first.getValue();
-    waiting.remove(customer);
-    Ticket<T> ticket = queue.remove();
+    String customer = waiting.keySet().iterator().next();
+    Deque<Ticket<T>> queue = waiting.get(customer);
+    Ticket<T> ticket = removeFirstOf(customer);
     if (!queue.isEmpty()) {
+      waiting.remove(customer);
       waiting.put(customer, queue);
+      turnRequests.put(customer, 1);
+    }
+    return ticket;
+  }
+
+  private Ticket<T> removeFirstOf(String customer) {
+    Deque<Ticket<T>> queue = waiting.get(customer);
+    Ticket<T> ticket = queue.remove();
+    if (queue.isEmpty()) {
+      waiting.remove(customer);
+      turnRequests.remove(customer);
     }
     queued--;
     return ticket;
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/admission/SlotQueueTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/admission/SlotQueueTests.java
@@ -1,11 +1,14 @@
 package org.cowslipdale.core.admission;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasItems;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 class SlotQueueTests {
@@ -78,6 +81,36 @@
     assertThat(offer(queue, "b", 0), is(Admission.REFUSED));
   }
 
+  /**
+   * Guards against a new connection for each request at the worst load: when several customers wait
+   * for one connection, each uses it a few times before the next one replaces it.
+   */
+  @Test
+  void customerKeepsItsConnectionForOneTurn() {
+    SlotQueue<String> queue = new SlotQueue<>(new QueuePolicy.Fair(), 1, 100);
+    offer(queue, "small", 0);
+    for (int i = 0; i < 10; i++) {
+      offer(queue, "large", 0);
+      offer(queue, "small", 0);
+    }
+
+    List<String> order = new ArrayList<>();
+    String customer = "small";
+    for (int i = 0; i < 20; i++) {
+      Ticket<String> next = queue.releaseConnection(customer, 1, 0).dispatched().getFirst();
+      customer = next.customer();
+      order.add(customer);
+    }
+
+    long replacements =
+        IntStream.range(1, 20).filter(i -> !order.get(i).equals(order.get(i - 1))).count();
+    assertThat(replacements, is(lessThan(7L)));
+    assertThat(
+        "requests of one customer before another one's turn",
+        order.subList(0, 2 * SlotQueue.MAX_TURN_REQUESTS),
+        hasItems("small", "large"));
+  }
+
   private static Admission offer(SlotQueue<String> queue, String customer, long now) {
     return queue.offer(new Ticket<>(customer, NO_DEADLINE_MILLIS, customer), now);
   }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
@@ -224,7 +224,8 @@
       returned = true;
       long now = clock.millis();
       if (clean && session.isUsable() && returnToPool()) {
-        TicketFuture.wake(queue.release((double) (now - acquiredMillis), now));
+        TicketFuture.wake(
+            queue.releaseConnection(session.customer(), (double) (now - acquiredMillis), now));
         return;
       }
       closeAndRecord(session);
