--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -64,9 +64,10 @@
 
   /**
    * The number of configurations in the log at which a snapshot replaces them. Each contains the
-   * whole configuration, and all of them are read when the VM starts.
+   * whole configuration, and all of them are read when the VM starts. A snapshot takes some eight
+   * syncs, which a slow disk makes longer than a leader lease, so it must not follow every few.
    */
-  private static final int CONFIGURATIONS_PER_SNAPSHOT = 8;
+  private static final int CONFIGURATIONS_PER_SNAPSHOT = 24;
 
   /**
    * The minimum interval between two notifications of changed configurations and members; far below
