--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
@@ -184,12 +184,13 @@
    * when all of them register: each VM that learns of a version requests it at once.
    */
   @Test
-  void announcesConfigurationsInQuickSuccessionTogether() throws Exception {
+  void announcesConfigurationsAndMembersInQuickSuccessionTogether() throws Exception {
     voter.handleLeaseRequest(OTHER, firstRequest(true));
     announcedVersions.clear();
     for (int version = 1; version <= 40; version++) {
       DeclaredDocument document = new DeclaredDocument(version, "{}");
       voter.propose(new ViewCommand.ReplaceConfiguration(document, Configuration.EMPTY, List.of()));
+      voter.register(vmRecord("vm" + (100 + version)));
     }
     for (int i = 0; i < 60; i++) {
       Thread.sleep(10);
