--- a/review/standin/Service.java
+++ b/review/standin/Service.java
@@ -8,10 +8,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 
 /**
  * A service of one primary and two replicas that speak the line protocol and send heartbeats, and the
@@ -41,6 +44,8 @@
   private long fence;
   private final Map<String, Long> arrivals = new ConcurrentHashMap<>();
   private volatile long workMillis;
+  private volatile long promotionCallMillis;
+  private volatile Consumer<String> promotionCalled = id -> {};
   private volatile boolean closed;
 
   Service(Fleet fleet, Record record) throws IOException {
@@ -57,12 +62,17 @@
         "/failover",
         exchange -> {
           String body = new String(exchange.getRequestBody().readAllBytes());
+          nodes.stream()
+              .filter(node -> body.contains("\"" + node.id + "\""))
+              .forEach(node -> promotionCalled.accept(node.id));
+          pause(promotionCallMillis);
           long token = Long.parseLong(exchange.getRequestHeaders().getFirst("Fencing-Token"));
           int status = promote(body, token);
           record.line("platform: POST /failover %s fence %d -> %d", body, token, status);
           exchange.sendResponseHeaders(status, -1);
           exchange.close();
         });
+    platform.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
     platform.start();
     nodes.forEach(node -> Thread.startVirtualThread(node::accept));
     nodes.forEach(node -> Thread.ofPlatform().daemon(true).start(node::sendHeartbeats));
@@ -73,6 +83,37 @@
     workMillis = millis;
   }
 
+  /**
+   * Makes the platform take its time for each call that replaces a primary.
+   *
+   * @param millis how long it takes until the call is carried out and answered
+   * @param called receives the id of the named server when a call arrives
+   */
+  void setSlowPlatform(long millis, Consumer<String> called) {
+    promotionCallMillis = millis;
+    promotionCalled = called;
+  }
+
+  synchronized String primaryId() {
+    return primary.id;
+  }
+
+  /** Ends a server: its connections end and it sends no heartbeats. */
+  void crash(String id) {
+    record.line("server %s crashes", id);
+    node(id).crash();
+  }
+
+  /** Starts a crashed server again, under its id, at its address and with its log. */
+  void restart(String id) {
+    record.line("server %s starts again", id);
+    node(id).restart();
+  }
+
+  private Node node(String id) {
+    return nodes.stream().filter(node -> node.id.equals(id)).findFirst().orElseThrow();
+  }
+
   /** Returns whether a statement has reached a server. */
   boolean hasArrived(String id) {
     return arrivals.containsKey(id);
@@ -109,7 +150,7 @@
   private synchronized int promote(String body, long token) {
     Node target =
         nodes.stream().filter(node -> body.contains("\"" + node.id + "\"")).findFirst().orElse(null);
-    if (target == null || token < fence) {
+    if (target == null || target.down || token < fence) {
       return 409;
     }
     fence = token;
@@ -157,7 +198,9 @@
         "i-%08x".formatted(ThreadLocalRandom.current().nextInt(1 << 20, Integer.MAX_VALUE));
     private final String zone;
     private final ServerSocket listener;
-    private final long born = System.currentTimeMillis();
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private volatile boolean down;
+    private long born = System.currentTimeMillis();
     private final Semaphore slots = new Semaphore(SLOTS, true);
     private long sequence;
 
@@ -192,6 +235,11 @@
       while (!closed) {
         try {
           Socket socket = listener.accept();
+          if (down) {
+            socket.close();
+            continue;
+          }
+          sockets.add(socket);
           Thread.startVirtualThread(() -> new Connection(this).serve(socket));
         } catch (IOException e) {
           return;
@@ -199,6 +247,24 @@
       }
     }
 
+    void crash() {
+      down = true;
+      for (Socket socket : sockets) {
+        try {
+          socket.close();
+        } catch (IOException e) {
+          continue;
+        }
+      }
+      sockets.clear();
+    }
+
+    synchronized void restart() {
+      born = System.currentTimeMillis();
+      sequence = 0;
+      down = false;
+    }
+
     void sendHeartbeats() {
       while (!closed) {
         sendHeartbeat();
@@ -207,6 +273,9 @@
     }
 
     synchronized void sendHeartbeat() {
+      if (down) {
+        return;
+      }
       String role;
       synchronized (Service.this) {
         role = this == primary ? "primary" : "replica";
