Vote again after the data folder could not be written for a while

Cause: Voter.stopVoting set a flag at the first StorageException that only a restart of the process cleared, and the process kept running. Evidence: the log line of the failed write on both VMs, no later leadership on any; VoterTests.leadsAgainAfterItsDiskWasFull was red for each of the three files of the data folder (no leader in 2 s after the disk took bytes again).

Recovery reads the folder again and writes its content to new, synced files, because after a failed sync a later one of the same file proves nothing; then the consensus node starts from that, as after a restart of the process. Nothing is voted for or acknowledged on data that was not synced. Events storage-lost and storage-regained and a counter tell of it.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -54,8 +54,9 @@
  * A voter of the control log. While it is the control leader, it also grants leases, permits and
  * tokens and runs failovers.
  *
- * <p>A voter whose storage has failed handles no more messages and provides none of these services.
- * All methods run on the control thread.
+ * <p>While its data folder cannot be written, a voter handles no messages and provides none of
+ * these services. It then continues from what the folder contains, as after a restart of the
+ * process. All methods run on the control thread.
  */
 final class Voter {
 
@@ -82,7 +83,7 @@
   private static final double MIN_TOKENS_PER_SECOND = 0.001;
 
   private final String vm;
-  private final ConsensusNode node;
+  private final Set<String> voters;
   private final ControlStore store;
   private final BackendRegistry registry;
   private final FailoverExecutor executor;
@@ -92,13 +93,14 @@
   private final Runnable onStorageFailure;
   private final RecentCommands recentCommands = new RecentCommands();
   private final ViewUpdates viewUpdates = new ViewUpdates(recentCommands);
+  private ConsensusNode node;
   private ControlState state;
   private long appliedIndex;
   private int configurationsSinceSnapshot;
   private boolean broadcastPending;
   private long lastBroadcastMillis = Long.MIN_VALUE / 2;
   private @Nullable Leadership leadership;
-  private boolean storageFailed;
+  private @Nullable StorageOutage outage;
 
   Voter(
       String vm,
@@ -111,6 +113,7 @@
       PeerSender sender,
       Runnable onStorageFailure) {
     this.vm = requireNonNull(vm, "vm");
+    this.voters = Set.copyOf(voters);
     this.store = requireNonNull(store, "store");
     this.registry = requireNonNull(registry, "registry");
     this.executor = requireNonNull(executor, "executor");
@@ -118,26 +121,42 @@
     this.clock = requireNonNull(clock, "clock");
     this.sender = requireNonNull(sender, "sender");
     this.onStorageFailure = requireNonNull(onStorageFailure, "onStorageFailure");
-    this.node =
-        new ConsensusNode(
-            vm,
-            voters,
-            store.hardState(),
-            store.snapshot(),
-            store.entries(),
-            new Random(),
-            clock.processStartMillis(),
-            clock.millis());
+    this.node = createNode(clock.processStartMillis(), clock.millis());
     this.state = store.snapshot().state();
-    this.appliedIndex = store.snapshot().index();
+    resetToSnapshot(store.snapshot());
+  }
+
+  /**
+   * Creates the consensus node from the stored state.
+   *
+   * @param lastLeaderContactMillis a time after which this voter did not hear from a leader
+   */
+  private ConsensusNode createNode(long lastLeaderContactMillis, long now) {
+    return new ConsensusNode(
+        vm,
+        voters,
+        store.hardState(),
+        store.snapshot(),
+        store.entries(),
+        new Random(),
+        lastLeaderContactMillis,
+        now);
+  }
+
+  private void resetToSnapshot(Snapshot snapshot) {
+    state = snapshot.state();
+    appliedIndex = snapshot.index();
+    configurationsSinceSnapshot = 0;
     recentCommands.reset(state.view().version());
   }
 
   void tick() {
-    if (storageFailed) {
+    long now = clock.millis();
+    StorageOutage currentOutage = outage;
+    if (currentOutage != null) {
+      recoverStorageIfDue(currentOutage, now);
       return;
     }
-    long now = clock.millis();
     execute(node.tick(now));
     updateLeadership();
     Leadership current = leadership;
@@ -152,7 +171,7 @@
   }
 
   void receive(ConsensusMessage message) {
-    if (!storageFailed) {
+    if (outage == null) {
       execute(node.receive(message, clock.millis()));
       updateLeadership();
     }
@@ -160,7 +179,7 @@
 
   /** Transfers leadership to another voter before this VM shuts down. */
   void transferLeadership() {
-    if (!storageFailed) {
+    if (outage == null) {
       execute(node.transferLeadership(clock.millis()));
       updateLeadership();
     }
@@ -174,7 +193,7 @@
   CompletableFuture<ChangeReply> propose(ViewCommand command) {
     CompletableFuture<ChangeReply> reply = new CompletableFuture<>();
     Leadership current = leadership;
-    if (storageFailed || current == null) {
+    if (outage != null || current == null) {
       reply.complete(new ChangeReply(null, ResultCode.NO_LEADER));
       return reply;
     }
@@ -193,7 +212,7 @@
   LeaseReply handleLeaseRequest(String from, LeaseRequest request) {
     long now = clock.millis();
     Leadership current = leadership;
-    if (storageFailed || current == null || !node.holdsLeaderLease(now)) {
+    if (outage != null || current == null || !node.holdsLeaderLease(now)) {
       return refuseLease(request);
     }
     View view = state.view();
@@ -268,7 +287,7 @@
   /** Grants a permit for a connection, at once or when another VM has released one. */
   void requestPermit(String from, PermitDemand demand, Consumer<PeerMessage> reply) {
     Leadership current = leadership;
-    if (storageFailed || current == null || !node.holdsLeaderLease(clock.millis())) {
+    if (outage != null || current == null || !node.holdsLeaderLease(clock.millis())) {
       reply.accept(new PeerMessage.PermitReply(false));
       return;
     }
@@ -285,7 +304,7 @@
   /** Records the permits that a VM holds, and grants those that it has released. */
   void addPermitReport(String from, PermitReport report) {
     Leadership current = leadership;
-    if (!storageFailed && current != null) {
+    if (outage == null && current != null) {
       current.permits().applyReport(from, report, clock.millis());
       answerPermitDemands(current);
     }
@@ -328,7 +347,7 @@
     long now = clock.millis();
     Leadership current = leadership;
     Optional<RateLimit> limit = state.view().configuration().rateLimit(request.customer());
-    if (storageFailed || current == null || limit.isEmpty() || !node.holdsLeaderLease(now)) {
+    if (outage != null || current == null || limit.isEmpty() || !node.holdsLeaderLease(now)) {
       return new TokenReply(null);
     }
     TokenDemand demand = request.demand();
@@ -375,7 +394,7 @@
   FleetReply queryFleet(FleetQuery query) {
     long now = clock.millis();
     Leadership current = leadership;
-    if (storageFailed || current == null || !node.holdsLeaderLease(now)) {
+    if (outage != null || current == null || !node.holdsLeaderLease(now)) {
       return new FleetReply(null, node.term(), 0, List.of(), List.of(), List.of());
     }
     View view = state.view();
@@ -417,7 +436,7 @@
 
   /** Returns the newest configuration document, or none if a newer one may exist elsewhere. */
   PeerMessage.DocumentReply newestDocument() {
-    boolean newest = !storageFailed && leadership != null && node.holdsLeaderLease(clock.millis());
+    boolean newest = outage == null && leadership != null && node.holdsLeaderLease(clock.millis());
     return new PeerMessage.DocumentReply(newest ? state.view().document() : null);
   }
 
@@ -430,23 +449,24 @@
       try {
         store.store(output);
       } catch (StorageException e) {
-        LOG.error("Failed to store the control log; this VM stops voting", e);
-        stopVoting();
+        LOG.error("Failed to store the control log; this VM does not vote until it can", e);
+        beginStorageOutage(e);
         return;
       }
     }
     Snapshot snapshot = output.snapshot();
     if (snapshot != null) {
-      state = snapshot.state();
-      appliedIndex = snapshot.index();
-      configurationsSinceSnapshot = 0;
-      recentCommands.reset(state.view().version());
+      resetToSnapshot(snapshot);
     }
+    sendMessages(output);
+    output.committed().forEach(this::apply);
+    compactIfDue();
+  }
+
+  private void sendMessages(Output output) {
     for (Output.OutboundMessage send : output.messages()) {
       sender.send(send.recipient(), new PeerMessage.Consensus(send.message()));
     }
-    output.committed().forEach(this::apply);
-    compactIfDue();
   }
 
   private void apply(LogEntry entry) {
@@ -541,24 +561,49 @@
       store.compact(snapshot, node.entriesAfterSnapshot());
       configurationsSinceSnapshot = 0;
     } catch (StorageException e) {
-      LOG.error("Failed to store the snapshot; this VM stops voting", e);
-      stopVoting();
+      LOG.error("Failed to store the snapshot; this VM does not vote until it can", e);
+      beginStorageOutage(e);
     }
   }
 
-  /** Gives up a leadership and answers all pending proposals: their outcome is unknown. */
-  private void stopVoting() {
-    storageFailed = true;
-    Leadership current = leadership;
-    if (current != null) {
-      current.abandonProposals();
-      leadership = null;
-    }
+  /** Stops taking part in the consensus, and transfers leadership to another voter. */
+  private void beginStorageOutage(StorageException cause) {
+    long now = clock.millis();
+    outage = StorageOutage.begin(now);
+    DecisionLog.line(LogEvent.STORAGE_LOST).with("reason", cause.getMessage()).write();
+    sendMessages(node.transferLeadership(now));
+    updateLeadership();
     onStorageFailure.run();
   }
 
+  /** Takes part in the consensus again if the data folder can be written. */
+  private void recoverStorageIfDue(StorageOutage current, long now) {
+    if (!current.isAttemptDue(now)) {
+      return;
+    }
+    try {
+      store.recover();
+    } catch (StorageException e) {
+      LOG.warn("The data folder is not available yet: {}", e.getMessage());
+      outage = current.attemptFailed(clock.millis());
+      return;
+    }
+    outage = null;
+    long recoveredMillis = clock.millis();
+    node = createNode(recoveredMillis, recoveredMillis);
+    resetToSnapshot(store.snapshot());
+    DecisionLog.line(LogEvent.STORAGE_REGAINED)
+        .with("outage_ms", recoveredMillis - current.startMillis())
+        .with("failed_attempts", current.failedAttempts())
+        .write();
+  }
+
+  /**
+   * Follows a change of the role. The outcome of proposals that are pending at the end of a
+   * leadership is unknown.
+   */
   private void updateLeadership() {
-    boolean leads = !storageFailed && node.role() == ConsensusNode.Role.LEADER;
+    boolean leads = outage == null && node.role() == ConsensusNode.Role.LEADER;
     Leadership current = leadership;
     if (current != null && (!leads || current.term() != node.term())) {
       DecisionLog.line(LogEvent.LEADERSHIP_LOST).with("log_term", current.term()).write();
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -79,6 +80,10 @@
         adapter.isPresent()
             ? new BackendRegistry(ADAPTER_ANNOUNCEMENT_TIMEOUT_MILLIS)
             : new BackendRegistry();
+    Counter storageFailures =
+        Counter.builder("cowslipdale.storage.failures")
+            .description("How often the data folder could not be written")
+            .register(meters);
     this.frontend =
         adapter.isPresent()
             ? new SessionFrontend(
@@ -102,10 +107,7 @@
             frontend.backendAccess(),
             tracing,
             clock,
-            () ->
-                LOG.error(
-                    "cannot write the data folder; this VM keeps serving, but needs action by an"
-                        + " operator"));
+            storageFailures::increment);
     frontend.initialize(control);
     this.admin =
         new AdminServer(vertx, settings, control, views, registry, readiness, meters, clock);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/storage/ControlStore.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/storage/ControlStore.java
@@ -30,8 +30,8 @@
  * <p>{@link #store} returns only after all data is synced to disk. The file {@code state} contains
  * the promised index: the index of the last entry that was reported as stored. A log that ends
  * before this entry is damaged or truncated, and the folder cannot be opened. A torn block after
- * this entry is the result of a crash during a write and is discarded. This class is confined to
- * one thread.
+ * this entry is the result of a crash during a write and is discarded. After a failed write,
+ * nothing is stored until {@link #recover} has succeeded. This class is confined to one thread.
  */
 public final class ControlStore implements AutoCloseable {
 
@@ -63,16 +63,10 @@
   private ControlStore(Path folder, FileChannel lockFile) throws IOException, StorageException {
     this.folder = folder;
     this.lockChannel = lockFile;
-    State state = CODEC.readValue(ChecksummedFile.read(folder.resolve(STATE_FILE)), State.class);
+    State state = readState(folder);
     this.hardState = state.hardState();
-    this.snapshot =
-        CODEC.readValue(ChecksummedFile.read(folder.resolve(SNAPSHOT_FILE)), Snapshot.class);
-    this.logChannel =
-        FileChannel.open(
-            folder.resolve(LOG_FILE),
-            StandardOpenOption.CREATE,
-            StandardOpenOption.READ,
-            StandardOpenOption.WRITE);
+    this.snapshot = readSnapshot(folder);
+    this.logChannel = openLog(folder);
     loadLog(state.promisedIndex());
   }
 
@@ -142,8 +136,7 @@
       }
       writeState();
     } catch (IOException e) {
-      throw new StorageException(
-          ResultCode.DATA_NOT_WRITABLE, "the data folder cannot be written: " + e.getMessage(), e);
+      throw notWritableException(e);
     }
   }
 
@@ -159,8 +152,34 @@
       replaceSnapshot(newSnapshot, remaining);
       writeState();
     } catch (IOException e) {
-      throw new StorageException(
-          ResultCode.DATA_NOT_WRITABLE, "the data folder cannot be written: " + e.getMessage(), e);
+      throw notWritableException(e);
+    }
+  }
+
+  /**
+   * Reads the data folder again after a write has failed, and writes its content to new files.
+   *
+   * <p>A failed write may have stored a part of its data. After a failed sync, a later sync of the
+   * same file may succeed although data was lost. Therefore the content counts as stored only once
+   * it has been synced in new files.
+   *
+   * @throws StorageException if the folder still cannot be written, or is damaged
+   */
+  public void recover() throws StorageException {
+    try {
+      State state = readState(folder);
+      hardState = state.hardState();
+      snapshot = readSnapshot(folder);
+      logChannel.close();
+      logChannel = openLog(folder);
+      entries.clear();
+      endOffsets.clear();
+      loadLog(state.promisedIndex());
+      ChecksummedFile.replace(folder.resolve(SNAPSHOT_FILE), CODEC.writeValueAsBytes(snapshot));
+      rewriteLog(entries);
+      writeState();
+    } catch (IOException e) {
+      throw notWritableException(e);
     }
   }
 
@@ -189,11 +208,33 @@
       State state = new State(new HardState(identity, 0, null), 0);
       ChecksummedFile.replace(folder.resolve(STATE_FILE), CODEC.writeValueAsBytes(state));
     } catch (IOException e) {
-      throw new StorageException(
-          ResultCode.DATA_NOT_WRITABLE, "the data folder cannot be written: " + e.getMessage(), e);
+      throw notWritableException(e);
     }
   }
 
+  private static StorageException notWritableException(IOException cause) {
+    return new StorageException(
+        ResultCode.DATA_NOT_WRITABLE,
+        "the data folder cannot be written: " + cause.getMessage(),
+        cause);
+  }
+
+  private static State readState(Path folder) throws IOException, StorageException {
+    return CODEC.readValue(ChecksummedFile.read(folder.resolve(STATE_FILE)), State.class);
+  }
+
+  private static Snapshot readSnapshot(Path folder) throws IOException, StorageException {
+    return CODEC.readValue(ChecksummedFile.read(folder.resolve(SNAPSHOT_FILE)), Snapshot.class);
+  }
+
+  private static FileChannel openLog(Path folder) throws IOException {
+    return FileChannel.open(
+        folder.resolve(LOG_FILE),
+        StandardOpenOption.CREATE,
+        StandardOpenOption.READ,
+        StandardOpenOption.WRITE);
+  }
+
   /**
    * Returns whether a data folder is absent or empty.
    *
@@ -288,17 +329,17 @@
   private void replaceSnapshot(Snapshot newSnapshot, List<LogEntry> remaining) throws IOException {
     ChecksummedFile.replace(folder.resolve(SNAPSHOT_FILE), CODEC.writeValueAsBytes(newSnapshot));
     snapshot = newSnapshot;
-    List<LogEntry> retained = List.copyOf(remaining);
-    entries.clear();
-    endOffsets.clear();
     writeStateWith(newSnapshot.index());
-    rewriteLog(retained);
+    rewriteLog(remaining);
   }
 
   /**
    * Replaces the log file atomically: after a crash it contains either the old or the new entries.
    */
-  private void rewriteLog(List<LogEntry> retained) throws IOException {
+  private void rewriteLog(List<LogEntry> remaining) throws IOException {
+    List<LogEntry> retained = List.copyOf(remaining);
+    entries.clear();
+    endOffsets.clear();
     Path temporary = folder.resolve(LOG_FILE + ".new");
     FileChannel newChannel =
         FileChannel.open(
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/telemetry/LogEvent.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/telemetry/LogEvent.java
@@ -43,7 +43,11 @@
   /** This VM is no longer the control leader. */
   LEADERSHIP_LOST("leadership-lost"),
   /** The voters of the control log changed. */
-  VOTERS_CHANGED("voters-changed");
+  VOTERS_CHANGED("voters-changed"),
+  /** The data folder of this VM cannot be written; the VM does not vote. */
+  STORAGE_LOST("storage-lost"),
+  /** The data folder of this VM can be written again; the VM votes. */
+  STORAGE_REGAINED("storage-regained");
 
   private final String text;
 
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
@@ -11,6 +11,7 @@
 import static org.hamcrest.Matchers.sameInstance;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -39,6 +40,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the services of a control leader that is the only voter. */
 class VoterTests {
@@ -79,10 +82,7 @@
             clock,
             this::recordAnnouncement,
             () -> {});
-    for (int i = 0; i < 100 && !isLeader(); i++) {
-      Thread.sleep(10);
-      voter.tick();
-    }
+    awaitLeadership();
     voter.register(vmRecord(OTHER));
   }
 
@@ -220,6 +220,53 @@
     assertThat(reply.get().failure(), is(ResultCode.CHANGE_OUTCOME_UNKNOWN));
   }
 
+  /**
+   * Guards against a voter that never votes again after its disk was full for a few seconds. Once
+   * that has happened to a majority of the voters, there is no control leader any more.
+   *
+   * <p>A folder under the name of a temporary file makes every write of that file fail.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"state.new", "log.new", "snapshot.new"})
+  void leadsAgainAfterItsDiskWasFull(String unwritableFile) throws Exception {
+    Path obstacle = Files.createDirectory(folder.resolve("data").resolve(unwritableFile));
+    long version = 1;
+    while (version < 100 && proposeConfiguration(version).failure() == null) {
+      version++;
+    }
+    assertThat(isLeader(), is(false));
+    for (int i = 0; i < 40; i++) {
+      Thread.sleep(10);
+      voter.tick();
+      assertThat(isLeader(), is(false));
+    }
+
+    Files.delete(obstacle);
+    awaitLeadership();
+
+    assertThat(proposeConfiguration(version + 1).result().code(), is(ResultCode.OK));
+    store.close();
+    try (ControlStore reopened = ControlStore.open(folder.resolve("data"))) {
+      assertThat(reopened.entries(), is(store.entries()));
+      assertThat(reopened.hardState(), is(store.hardState()));
+      assertThat(reopened.snapshot(), is(store.snapshot()));
+    }
+  }
+
+  private ChangeReply proposeConfiguration(long version) throws Exception {
+    DeclaredDocument document = new DeclaredDocument(version, "{}");
+    return voter
+        .propose(new ViewCommand.ReplaceConfiguration(document, Configuration.EMPTY, List.of()))
+        .get();
+  }
+
+  private void awaitLeadership() throws InterruptedException {
+    for (int i = 0; i < 200 && !isLeader(); i++) {
+      Thread.sleep(10);
+      voter.tick();
+    }
+  }
+
   private void recordAnnouncement(String recipient, PeerMessage message) {
     if (recipient.equals(OTHER) && message instanceof PeerMessage.ViewChanged change) {
       announcedVersions.add(change.version());
--- a/cowslipdale-testsupport/src/test/java/org/cowslipdale/testsupport/ControlLogTests.java
+++ b/cowslipdale-testsupport/src/test/java/org/cowslipdale/testsupport/ControlLogTests.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.time.Duration;
+import java.util.List;
 import java.util.UUID;
 import java.util.stream.Stream;
 import org.cowslipdale.testsupport.caller.AdminClient;
@@ -136,6 +137,34 @@
     }
   }
 
+  /**
+   * Guards against a fleet without a control leader after the disks of two of its three voters were
+   * full for a moment, one after the other.
+   *
+   * <p>A folder under the name of the temporary file makes every write of the file {@code state}
+   * fail.
+   */
+  @Test
+  void acceptsChangesAfterDisksOfTwoVmsWereFullInTurn() throws IOException {
+    try (TestFleet fleet = TestFleet.start(folder)) {
+      int change = 1;
+      for (String name : List.of("vm2", "vm3")) {
+        Fleet.Vm vm = fleet.fleet().vm(name);
+        Path obstacle = Files.createDirectory(vm.dataFolder().resolve("state.new"));
+        awaitAccepted(fleet.operator(1), change++);
+        assertThat(
+            TestFleet.await(
+                AWAIT_TIMEOUT, () -> output(vm).contains("Failed to store the control log")),
+            is(true));
+        TestFleet.pause(500);
+        Files.delete(obstacle);
+        TestFleet.pause(2_000);
+      }
+
+      awaitAccepted(fleet.operator(1), change);
+    }
+  }
+
   private static JsonNode applyChange(AdminClient operator, int change) throws IOException {
     String text = TestFleet.CONFIGURATION.replace("burst = 20", "burst = " + change);
     return operator.applyConfiguration(text, change, UUID.randomUUID().toString());
