--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/storage/ControlStoreTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/storage/ControlStoreTests.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.BasicFileAttributes;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -164,6 +165,42 @@
     }
   }
 
+  /**
+   * After a failed sync, a later sync of the same file may succeed although data was lost. The
+   * stored data must be written to new files.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"log", "state", "snapshot"})
+  void recoveryReplacesFilesAndRetainsStoredData(String file) throws StorageException, IOException {
+    HardState hardState = new HardState(VoterSet.INITIAL_IDENTITY, 7, "vm2");
+    Snapshot snapshot = new Snapshot(2, 1, VoterSet.initial(VOTERS), ControlState.EMPTY);
+    try (ControlStore store = ControlStore.open(folder)) {
+      store.store(new Output(hardState, null, 0, entries(1, 5), List.of(), List.of()));
+      store.compact(snapshot, entries(3, 5));
+      Path obstacle = Files.createDirectory(folder.resolve("state.new"));
+      assertThrows(
+          StorageException.class,
+          () -> store.store(new Output(null, null, 5, entries(6, 6), List.of(), List.of())));
+      assertThrows(StorageException.class, store::recover);
+      Files.delete(obstacle);
+      Object fileBefore = fileKey(folder.resolve(file));
+
+      store.recover();
+
+      assertThat(fileKey(folder.resolve(file)), is(not(fileBefore)));
+      assertThat(store.hardState(), is(hardState));
+      assertThat(store.snapshot(), is(snapshot));
+      store.store(new Output(null, null, 6, entries(7, 7), List.of(), List.of()));
+    }
+    try (ControlStore store = ControlStore.open(folder)) {
+      assertThat(store.entries(), is(entries(3, 7)));
+    }
+  }
+
+  private static Object fileKey(Path file) throws IOException {
+    return Files.readAttributes(file, BasicFileAttributes.class).fileKey();
+  }
+
   private void assertDamaged() {
     StorageException e = assertThrows(StorageException.class, () -> ControlStore.open(folder));
     assertThat(e.code(), is(ResultCode.DATA_DAMAGED));
