Close busy sessions between two statements when a VM stops

Cause: the drain closed only sessions that were idle at one of its polls, every 20 ms; a session with a request always in progress was never closed, and at the limit everything in progress was cut.

A session of a draining VM now ends right after a reply that leaves no transaction open. A statement that arrives in this moment is answered with SHUTTING_DOWN and does not run; new sessions are refused so too. Shortly before the drain limit, requests that are still in progress are ended and answered with whether they may have run, over HTTP as well.

The common fixture of SessionRunnerTests moves to SessionFixture; its assertions stay.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/CallerFrontend.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/CallerFrontend.java
@@ -39,8 +39,8 @@
   void tick(long now);
 
   /**
-   * Closes idle connections or asks callers to close them, without interrupting a request in
-   * progress.
+   * Closes connections, or asks callers to close them, as soon as no request is in progress on
+   * them.
    *
    * <p>A shutdown calls this repeatedly.
    */
@@ -49,6 +49,12 @@
   /** Ends transactions that are still open when their share of the drain limit has passed. */
   void endTransactions();
 
+  /**
+   * Ends requests that are still in progress shortly before the drain limit, and answers them
+   * truthfully.
+   */
+  void endRequests();
+
   /** Returns whether requests or transactions are in progress. */
   boolean isBusy();
 
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
@@ -42,6 +42,9 @@
 
   private static final long DRAIN_POLL_MILLIS = 20;
 
+  /** Part of the drain limit in which requests that are still in progress are answered. */
+  private static final long LAST_REPLIES_MILLIS = 150;
+
   /** Part of the drain limit that is reserved for closing the components and ending the process. */
   private static final long EXIT_MARGIN_MILLIS = 600;
 
@@ -164,7 +167,11 @@
     DecisionLog.line(LogEvent.DAEMON_STOPPING).with("vm", settings.vm().label()).write();
     long startedMillis = clock.millis();
     readiness.markStopping();
-    long limitMillis = startedMillis + settings.limits().drainLimitMillis() - EXIT_MARGIN_MILLIS;
+    long limitMillis =
+        startedMillis
+            + settings.limits().drainLimitMillis()
+            - EXIT_MARGIN_MILLIS
+            - LAST_REPLIES_MILLIS;
     if (servesCallers()) {
       drainCallers(startedMillis, limitMillis);
     }
@@ -196,7 +203,8 @@
   /**
    * Waits until the load balancer has noticed, then until no caller is busy.
    *
-   * <p>Transactions that are still open after half of the drain limit are ended.
+   * <p>Transactions that are still open after half of the drain limit are ended, and requests that
+   * are still in progress shortly before it.
    */
   private void drainCallers(long startedMillis, long limitMillis) {
     long endTransactionsMillis = startedMillis + settings.limits().drainLimitMillis() / 2;
@@ -212,7 +220,15 @@
       frontend.drain();
     }
     if (isBusy()) {
-      LOG.warn("drain limit reached; stopping with requests or transactions in progress");
+      LOG.warn("drain limit reached; ending the requests and transactions in progress");
+      frontend.endRequests();
+      awaitIdleUntil(limitMillis + LAST_REPLIES_MILLIS);
+    }
+  }
+
+  private void awaitIdleUntil(long limitMillis) {
+    while (isBusy() && clock.millis() < limitMillis) {
+      sleepUntil(clock.millis() + DRAIN_POLL_MILLIS);
     }
   }
 
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/HttpFrontend.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/HttpFrontend.java
@@ -128,6 +128,11 @@
     // up to the drain limit.
   }
 
+  @Override
+  public void endRequests() {
+    requestPath().server().endRequests();
+  }
+
   @Override
   public boolean isBusy() {
     return requestPath().server().isBusy() || requestPath().openTransactions() > 0;
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
@@ -162,7 +162,7 @@
 
   @Override
   public void drain() {
-    sessionServer().closeIdle();
+    sessionServer().drain();
   }
 
   @Override
@@ -170,6 +170,11 @@
     sessionServer().abortTransactions();
   }
 
+  @Override
+  public void endRequests() {
+    sessionServer().endStatements();
+  }
+
   @Override
   public boolean isBusy() {
     return sessionServer().openCount() > 0;
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/CallerServer.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/CallerServer.java
@@ -13,6 +13,8 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -50,6 +52,7 @@
   /** Requests whose head has arrived and whose response has not been written yet. */
   private final AtomicInteger unanswered = new AtomicInteger();
 
+  private final Set<Thread> requestThreads = ConcurrentHashMap.newKeySet();
   private final AtomicBoolean draining = new AtomicBoolean();
   private @Nullable String deploymentId;
 
@@ -81,6 +84,11 @@
     draining.set(true);
   }
 
+  /** Ends the requests in progress; each is answered with whether it may have run. */
+  public void endRequests() {
+    requestThreads.forEach(Thread::interrupt);
+  }
+
   /** Returns the number of requests in progress. */
   public int inProgress() {
     return inProgress.get();
@@ -175,6 +183,7 @@
 
   private void serve(HttpServerRequest request, Buffer body) {
     long startedNanos = System.nanoTime();
+    requestThreads.add(Thread.currentThread());
     try (Tracing.Hop hop = tracing.startHop("entry", request.getHeader("traceparent"))) {
       CallerRequest callerRequest = toCallerRequest(request, body, hop.traceparent());
       Reply reply = serve(callerRequest);
@@ -183,6 +192,7 @@
       metrics.record(reply.status(), System.nanoTime() - startedNanos);
       send(request.response(), reply);
     } finally {
+      requestThreads.remove(Thread.currentThread());
       inProgress.decrementAndGet();
     }
   }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/CallerSession.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/CallerSession.java
@@ -20,7 +20,8 @@
  * closed.
  *
  * <p>The {@code handle} methods add the caller's input to a queue. They may be called from any
- * thread, in the order of the input.
+ * thread, in the order of the input. When the VM stops, the session ends after a reply that leaves
+ * no transaction open; a statement that arrives later is refused.
  */
 public final class CallerSession {
 
@@ -41,6 +42,13 @@
   private volatile boolean busy = true;
   private volatile boolean closed;
   private volatile boolean transactionOpen;
+  private volatile boolean draining;
+
+  /** Whether the session has ended because the VM stops; no further statement will run. */
+  private volatile boolean drained;
+
+  private final Thread thread = Thread.ofVirtual().unstarted(this::run);
+  private volatile Runnable onEnd = () -> {};
 
   /** Input of the caller, or a request of the VM to the session. */
   private sealed interface Event {
@@ -126,26 +134,58 @@
     events.offer(new Event.CloseIfIdle());
   }
 
+  /**
+   * Requests the session to close as soon as it has neither a statement nor a transaction in
+   * progress.
+   */
+  void drain() {
+    if (!draining) {
+      draining = true;
+      closeWhenIdle();
+    }
+  }
+
+  /** Requests a session that was accepted during the drain to refuse the caller. */
+  void refuseOpen() {
+    draining = true;
+  }
+
+  /** Ends the session at once; a statement in progress is answered first. */
+  void end() {
+    thread.interrupt();
+  }
+
   /** Requests the session to abort its open transaction, so that it becomes idle. */
   void abortTransaction() {
     events.offer(new Event.AbortTransaction());
   }
 
-  void start(Runnable onEnd) {
-    Thread.startVirtualThread(
-        () -> {
-          try {
-            runSession();
-          } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-          } catch (RuntimeException e) {
-            LOG.error("Session failed unexpectedly", e);
-          } finally {
-            closed = true;
-            channel.close();
-            onEnd.run();
-          }
-        });
+  /**
+   * Starts the thread of the session.
+   *
+   * @param onSessionEnd runs when the session has ended
+   */
+  void start(Runnable onSessionEnd) {
+    onEnd = onSessionEnd;
+    thread.start();
+  }
+
+  private void run() {
+    try {
+      runSession();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (RuntimeException e) {
+      LOG.error("Session failed unexpectedly", e);
+    } finally {
+      closed = true;
+      if (draining) {
+        drained = true;
+        refuseQueuedStatements();
+      }
+      channel.close();
+      onEnd.run();
+    }
   }
 
   private void addEvent(Event event) {
@@ -156,6 +196,22 @@
               "Too many statements were sent without waiting for their replies."));
       handleDisconnect();
     }
+    if (drained) {
+      refuseQueuedStatements();
+    }
+  }
+
+  /** Answers the statements that arrived while the session ended; none of them has run. */
+  private void refuseQueuedStatements() {
+    for (Event event = events.poll(); event != null; event = events.poll()) {
+      if (event instanceof Event.Run run) {
+        SessionReply reply =
+            SessionReply.refused(
+                new RefusalException(ResultCode.SHUTTING_DOWN), TransactionState.IDLE);
+        logRefusal(run, reply);
+        channel.reply(reply);
+      }
+    }
   }
 
   private void runSession() throws InterruptedException {
@@ -172,6 +228,9 @@
     switch (first) {
       case Event.Open open -> {
         try {
+          if (draining) {
+            throw new RefusalException(ResultCode.SHUTTING_DOWN);
+          }
           awaitView();
           admission.authorize(open.route(), open.key());
           return new Session(open.route(), open.key(), admission, runner);
@@ -214,6 +273,9 @@
           transactionOpen = session.state() != TransactionState.IDLE;
           logRefusal(run, reply);
           channel.reply(reply);
+          if (draining && !transactionOpen) {
+            return;
+          }
         }
         case Event.Invalid invalid -> {
           channel.refuse(invalid.refusal());
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -246,6 +246,9 @@
 
     private T runWithRetries() throws RefusalException {
       while (true) {
+        if (Thread.currentThread().isInterrupted()) {
+          throw new RefusalException(ResultCode.SHUTTING_DOWN);
+        }
         switch (route()) {
           case SessionTarget.Wait wait -> awaitRoute(wait);
           case RunOn target -> {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionServer.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionServer.java
@@ -12,6 +12,7 @@
   private final SessionAdmission admission;
   private final SessionRunner runner;
   private final Set<CallerSession> sessions = ConcurrentHashMap.newKeySet();
+  private volatile boolean draining;
 
   /**
    * Creates the server.
@@ -40,6 +41,9 @@
             context.clock());
     sessions.add(session);
     session.start(() -> sessions.remove(session));
+    if (draining) {
+      session.refuseOpen();
+    }
     return session;
   }
 
@@ -61,6 +65,23 @@
     sessions.stream().filter(session -> !session.isBusy()).forEach(CallerSession::closeWhenIdle);
   }
 
+  /**
+   * Closes each session as soon as it has neither a statement nor a transaction in progress, and
+   * refuses new ones.
+   */
+  public void drain() {
+    draining = true;
+    sessions.forEach(CallerSession::drain);
+  }
+
+  /**
+   * Ends all sessions. A statement in progress is answered with a refusal that tells whether it may
+   * have run.
+   */
+  public void endStatements() {
+    sessions.forEach(CallerSession::end);
+  }
+
   /** Aborts all open transactions. */
   public void abortTransactions() {
     sessions.forEach(CallerSession::abortTransaction);
--- /dev/null
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionFixture.java
@@ -0,0 +1,180 @@
+package org.cowslipdale.daemon.session;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.cowslipdale.core.backend.Announcement;
+import org.cowslipdale.core.backend.BackendRegistry;
+import org.cowslipdale.core.backend.ServerBackoff;
+import org.cowslipdale.core.backend.ServerHealth;
+import org.cowslipdale.core.backend.ServerRole;
+import org.cowslipdale.core.failover.PrimaryTrafficMonitor;
+import org.cowslipdale.core.permit.HeldPermits;
+import org.cowslipdale.core.routing.FleetPositions;
+import org.cowslipdale.core.routing.ReplicaLagTracker;
+import org.cowslipdale.core.routing.SessionRouter;
+import org.cowslipdale.core.routing.WriteFencing;
+import org.cowslipdale.core.session.LogPosition;
+import org.cowslipdale.core.view.Configuration;
+import org.cowslipdale.core.view.Database;
+import org.cowslipdale.core.view.DeclaredDocument;
+import org.cowslipdale.core.view.Freshness;
+import org.cowslipdale.core.view.SessionRoute;
+import org.cowslipdale.core.view.View;
+import org.cowslipdale.core.view.ViewCommand;
+import org.cowslipdale.daemon.request.RateLimiter;
+import org.cowslipdale.daemon.version.ViewHolder;
+import org.cowslipdale.daemon.version.VmClock;
+
+/**
+ * The components of the only VM of a fleet, in front of two in-process servers of the database
+ * {@code bonds}: the primary {@code bonds-1} and the replica {@code bonds-2}.
+ */
+final class SessionFixture implements AutoCloseable {
+
+  /** The name of an open route to the database with the latest freshness. */
+  static final String OPEN_ROUTE = "open-route";
+
+  private static final long LIMIT_MILLIS = 2_000;
+
+  /**
+   * The pool leaves two of a server's connections for queries of its state, so two remain for
+   * statements.
+   */
+  private static final int CONNECTION_LIMIT = 4;
+
+  private final VmClock clock = new VmClock();
+  private final BackendRegistry registry = new BackendRegistry(60_000);
+  private final FakeServers servers = new FakeServers();
+  private final ServerHealth health = new ServerHealth();
+  private final SessionPools pools =
+      new SessionPools(servers, clock, 100, health, new SingleVmPermits());
+  private final Thread poolTicker = Thread.startVirtualThread(this::tickPools);
+
+  SessionFixture() {
+    announce("bonds-1", ServerRole.PRIMARY);
+    announce("bonds-2", ServerRole.REPLICA);
+  }
+
+  /**
+   * Permits of a VM that may open its share of connections to every server; no permit is ever
+   * granted beyond that.
+   */
+  private static final class SingleVmPermits implements ConnectionPermits {
+
+    private final HeldPermits permits = new HeldPermits(1);
+
+    @Override
+    public boolean tryUse(String server, int share) {
+      return permits.tryUse(server, share);
+    }
+
+    @Override
+    public void recordClosed(String server) {
+      permits.recordClosed(server);
+    }
+
+    @Override
+    public boolean mustClose(String server, int share) {
+      return permits.isExceeded(server, share);
+    }
+
+    @Override
+    public void requestPermit(String server, int capacity) {
+      pause(10);
+    }
+  }
+
+  VmClock clock() {
+    return clock;
+  }
+
+  FakeServers servers() {
+    return servers;
+  }
+
+  /** Returns a holder of the view with a lease. */
+  ViewHolder viewsWithLease(long leaseMillis) {
+    ViewHolder views = new ViewHolder(clock.millis());
+    views.publish(view(), clock.millis() + leaseMillis, 1);
+    return views;
+  }
+
+  SessionContext context(ViewHolder views, WriteFencing writeFencing, RateLimiter limiter) {
+    ReplicaLagTracker lagTracker = new ReplicaLagTracker();
+    ServerBackoff backoff = new ServerBackoff(new Random());
+    return new SessionContext(
+        views,
+        registry,
+        health,
+        new SessionRouter("vm1", "a", "r", pools, lagTracker, backoff, writeFencing),
+        pools,
+        lagTracker,
+        new FleetPositions(),
+        backoff,
+        new PrimaryTrafficMonitor(),
+        limiter,
+        clock);
+  }
+
+  PrimaryChecker checker(SessionContext context) {
+    return new PrimaryChecker(
+        context.views(), registry, servers, context.trafficMonitor(), clock, () -> {});
+  }
+
+  @Override
+  public void close() {
+    poolTicker.interrupt();
+    try {
+      poolTicker.join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    pools.close();
+  }
+
+  static void pause(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void tickPools() {
+    while (!Thread.currentThread().isInterrupted()) {
+      pools.tick(clock.millis());
+      pause(10);
+    }
+  }
+
+  private void announce(String server, ServerRole role) {
+    registry.addAnnouncement(
+        new Announcement(
+            "bonds", server, "address", "a", "r", role, LogPosition.ZERO, 0, 5, 30, false, 1, 1),
+        0,
+        clock.millis());
+  }
+
+  private static View view() {
+    SessionRoute openRoute =
+        new SessionRoute(
+            OPEN_ROUTE, "bonds", new Freshness.Latest(), LIMIT_MILLIS, LIMIT_MILLIS, 1, true);
+    Configuration configuration =
+        new Configuration(
+            Map.of(),
+            Map.of(),
+            Map.of(),
+            Map.of("bonds", new Database("bonds", 2, CONNECTION_LIMIT, 0)),
+            Map.of(OPEN_ROUTE, openRoute),
+            30_000);
+    DeclaredDocument document = new DeclaredDocument(1, "{}");
+    return View.EMPTY
+        .apply(new ViewCommand.ReplaceConfiguration(document, configuration, List.of()))
+        .view()
+        .apply(new ViewCommand.BeginTerm("bonds", 1))
+        .view()
+        .apply(new ViewCommand.CompleteTerm("bonds", 1, "bonds-1", 0))
+        .view();
+  }
+}
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
@@ -9,39 +9,22 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.cowslipdale.core.backend.Announcement;
-import org.cowslipdale.core.backend.BackendRegistry;
-import org.cowslipdale.core.backend.ServerBackoff;
-import org.cowslipdale.core.backend.ServerHealth;
-import org.cowslipdale.core.backend.ServerRole;
-import org.cowslipdale.core.failover.PrimaryTrafficMonitor;
-import org.cowslipdale.core.permit.HeldPermits;
 import org.cowslipdale.core.result.Outcome;
 import org.cowslipdale.core.result.RefusalException;
 import org.cowslipdale.core.result.ResultCode;
-import org.cowslipdale.core.routing.FleetPositions;
-import org.cowslipdale.core.routing.ReplicaLagTracker;
-import org.cowslipdale.core.routing.SessionRouter;
 import org.cowslipdale.core.routing.WriteFencing;
 import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.statement.ServerReply;
 import org.cowslipdale.core.statement.Statement;
 import org.cowslipdale.core.statement.Statement.PreparedStatement;
-import org.cowslipdale.core.view.Configuration;
-import org.cowslipdale.core.view.Database;
-import org.cowslipdale.core.view.DeclaredDocument;
 import org.cowslipdale.core.view.Freshness;
 import org.cowslipdale.core.view.SessionRoute;
-import org.cowslipdale.core.view.View;
-import org.cowslipdale.core.view.ViewCommand;
 import org.cowslipdale.daemon.request.RateLimiter;
 import org.cowslipdale.daemon.version.ViewHolder;
 import org.cowslipdale.daemon.version.VmClock;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.MethodOrderer;
 import org.junit.jupiter.api.Order;
 import org.junit.jupiter.api.Test;
@@ -59,92 +42,28 @@
   private static final long LIMIT_MILLIS = 2_000;
   private static final Freshness LATEST = new Freshness.Latest();
 
-  /**
-   * The pool leaves two of a server's connections for queries of its state, so two remain for
-   * statements.
-   */
-  private static final int CONNECTION_LIMIT = 4;
-
-  private final VmClock clock = new VmClock();
-  private ViewHolder views = new ViewHolder(clock.millis());
-  private final BackendRegistry registry = new BackendRegistry(60_000);
-  private final FakeServers servers = new FakeServers();
-  private final ServerHealth health = new ServerHealth();
-  private final SessionPools pools =
-      new SessionPools(servers, clock, 100, health, new SingleVmPermits());
+  private final SessionFixture fixture = new SessionFixture();
+  private final VmClock clock = fixture.clock();
+  private final FakeServers servers = fixture.servers();
+  private ViewHolder views = fixture.viewsWithLease(60_000);
   private final AtomicInteger returnedTokens = new AtomicInteger();
   private final List<Thread> threads = new ArrayList<>();
   private final List<CountDownLatch> answerLatches = new ArrayList<>();
   private WriteFencing writeFencing = WriteFencing.BY_SERVERS;
-  private SessionRunner runner;
-
-  @BeforeEach
-  void start() {
-    views.publish(view(), clock.millis() + 60_000, 1);
-    announce("bonds-1", ServerRole.PRIMARY);
-    announce("bonds-2", ServerRole.REPLICA);
-    runner = runner();
-    threads.add(Thread.startVirtualThread(this::tickPools));
-  }
-
-  /**
-   * Permits of a VM that may open its share of connections to every server; no permit is ever
-   * granted beyond that.
-   */
-  private static final class SingleVmPermits implements ConnectionPermits {
-
-    private final HeldPermits permits = new HeldPermits(1);
-
-    @Override
-    public boolean tryUse(String server, int share) {
-      return permits.tryUse(server, share);
-    }
-
-    @Override
-    public void recordClosed(String server) {
-      permits.recordClosed(server);
-    }
-
-    @Override
-    public boolean mustClose(String server, int share) {
-      return permits.isExceeded(server, share);
-    }
-
-    @Override
-    public void requestPermit(String server, int capacity) {
-      pause(10);
-    }
-  }
+  private SessionRunner runner = runner();
 
   private SessionRunner runner() {
-    PrimaryTrafficMonitor trafficMonitor = new PrimaryTrafficMonitor();
-    ReplicaLagTracker lagTracker = new ReplicaLagTracker();
-    ServerBackoff backoff = new ServerBackoff(new Random());
-    SessionContext context =
-        new SessionContext(
-            views,
-            registry,
-            health,
-            new SessionRouter("vm1", "a", "r", pools, lagTracker, backoff, writeFencing),
-            pools,
-            lagTracker,
-            new FleetPositions(),
-            backoff,
-            trafficMonitor,
-            new CountingLimiter(),
-            clock);
-    return new SessionRunner(
-        context, new PrimaryChecker(views, registry, servers, trafficMonitor, clock, () -> {}));
+    SessionContext context = fixture.context(views, writeFencing, new CountingLimiter());
+    return new SessionRunner(context, fixture.checker(context));
   }
 
   @AfterEach
   void stop() throws InterruptedException {
     answerLatches.forEach(CountDownLatch::countDown);
-    threads.getFirst().interrupt();
     for (Thread thread : threads) {
       thread.join();
     }
-    pools.close();
+    fixture.close();
   }
 
   /**
@@ -161,7 +80,7 @@
     Thread.sleep(20);
     Thread.startVirtualThread(
         () -> {
-          pause(150);
+          SessionFixture.pause(150);
           second.countDown();
         });
 
@@ -182,7 +101,7 @@
     grantLease(600);
     SessionRunner.BegunTransaction transaction =
         runner.begin(request(new Statement.Begin("begin-1", "BEGIN READ", true), bounded));
-    pause(900);
+    SessionFixture.pause(900);
 
     runner.runInTransaction(
         transaction, request(new Statement.Commit("commit-1", "COMMIT"), bounded));
@@ -201,7 +120,7 @@
   void rejectsReadWhosePositionExpiresWhileConnecting() throws Exception {
     grantLease(300);
     runner.run(request("write-1", true, new Freshness.Latest()));
-    pause(450);
+    SessionFixture.pause(450);
     servers.delayConnections(450);
 
     Freshness bounded = new Freshness.BoundedAge(800);
@@ -219,7 +138,7 @@
   void rejectsTransactionWhosePositionExpiresBeforeBeginIsAnswered() throws Exception {
     grantLease(300);
     runner.run(request("write-1", true, new Freshness.Latest()));
-    pause(450);
+    SessionFixture.pause(450);
     servers.delayStatements(450);
 
     Freshness bounded = new Freshness.BoundedAge(800);
@@ -325,7 +244,7 @@
     writeFencing = WriteFencing.BY_LEASE;
     grantLease(500);
     SessionRunner.BegunTransaction transaction = runner.begin(request(plainBegin(), LATEST));
-    pause(600);
+    SessionFixture.pause(600);
 
     RefusalException refusal =
         assertThrows(
@@ -361,8 +280,7 @@
   }
 
   private void grantLease(long millis) {
-    views = new ViewHolder(clock.millis());
-    views.publish(view(), clock.millis() + millis, 1);
+    views = fixture.viewsWithLease(millis);
     runner = runner();
   }
 
@@ -383,14 +301,7 @@
 
   private void awaitRun(String run) {
     for (int i = 0; i < 200 && !servers.runs().contains(run); i++) {
-      pause(5);
-    }
-  }
-
-  private void tickPools() {
-    while (!Thread.currentThread().isInterrupted()) {
-      pools.tick(clock.millis());
-      pause(10);
+      SessionFixture.pause(5);
     }
   }
 
@@ -420,41 +331,6 @@
         clock.millis() + limitMillis);
   }
 
-  private void announce(String server, ServerRole role) {
-    registry.addAnnouncement(
-        new Announcement(
-            "bonds", server, "address", "a", "r", role, LogPosition.ZERO, 0, 5, 30, false, 1, 1),
-        0,
-        clock.millis());
-  }
-
-  private static View view() {
-    Configuration configuration =
-        new Configuration(
-            Map.of(),
-            Map.of(),
-            Map.of(),
-            Map.of("bonds", new Database("bonds", 2, CONNECTION_LIMIT, 0)),
-            Map.of(),
-            30_000);
-    DeclaredDocument document = new DeclaredDocument(1, "{}");
-    return View.EMPTY
-        .apply(new ViewCommand.ReplaceConfiguration(document, configuration, List.of()))
-        .view()
-        .apply(new ViewCommand.BeginTerm("bonds", 1))
-        .view()
-        .apply(new ViewCommand.CompleteTerm("bonds", 1, "bonds-1", 0))
-        .view();
-  }
-
-  private static void pause(long millis) {
-    try {
-      Thread.sleep(millis);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   private final class CountingLimiter implements RateLimiter {
 
     @Override
