Bound what voters retain of replaced configurations in bytes

Evidence: VoterTests.retainsFewReplacedConfigurations counts by weak references how many of 200 replaced configurations are still held: red on the former code (30 or more).

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusNode.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/ConsensusNode.java
@@ -41,6 +41,12 @@
 
   private static final int MAX_ENTRIES_PER_MESSAGE = 200;
 
+  /**
+   * The estimated size of the entries in a message, which an entry of its own may exceed. A sender
+   * and a receiver hold several copies of a message, encoded and decoded.
+   */
+  static final long MAX_BYTES_PER_MESSAGE = 2 << 20;
+
   /**
    * The additional steps that a candidate waits for votes in its initial election: one for the
    * pre-vote and one for the election.
@@ -627,14 +633,29 @@
       progress.nextIndex = log.snapshot().index() + 1;
       return;
     }
-    long last = Math.min(log.lastIndex(), previous + MAX_ENTRIES_PER_MESSAGE);
-    List<LogEntry> entries = log.range(previous + 1, last);
+    List<LogEntry> entries = nextEntries(previous);
+    long last = previous + entries.size();
     AppendRequest request =
         new AppendRequest(term, self, previous, log.termAt(previous), entries, commitIndex, now);
     messages.add(new OutboundMessage(name, request));
     progress.nextIndex = last + 1;
   }
 
+  /** Returns the entries after an index that fit one message, at least one if there is any. */
+  private List<LogEntry> nextEntries(long previous) {
+    long limit = Math.min(log.lastIndex(), previous + MAX_ENTRIES_PER_MESSAGE);
+    long bytes = 0;
+    long last = previous;
+    while (last < limit) {
+      bytes += log.entryAt(last + 1).estimatedBytes();
+      if (bytes > MAX_BYTES_PER_MESSAGE && last > previous) {
+        break;
+      }
+      last++;
+    }
+    return log.range(previous + 1, last);
+  }
+
   /**
    * Returns the latest send time such that a quorum of the voters, this member included, has
    * answered a request sent at or after it.
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/LogEntry.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/consensus/LogEntry.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import org.cowslipdale.core.view.CommandSize;
 import org.cowslipdale.core.view.ViewCommand;
 
 /**
@@ -13,11 +14,23 @@
  */
 public record LogEntry(long index, long term, Payload payload) {
 
+  /** The size of an entry without a command. */
+  private static final long OVERHEAD_BYTES = 100;
+
   /** Checks that the payload is not {@code null}. */
   public LogEntry {
     requireNonNull(payload, "payload");
   }
 
+  /** Returns an estimate of the size of the entry on the heap, in bytes. */
+  public long estimatedBytes() {
+    return switch (payload) {
+      case Command logged -> OVERHEAD_BYTES + CommandSize.estimatedBytes(logged.command());
+      case Noop noop -> OVERHEAD_BYTES;
+      case Voters change -> OVERHEAD_BYTES;
+    };
+  }
+
   /** The content of a log entry. */
   public sealed interface Payload {}
 
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/view/ConfigurationChange.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/view/ConfigurationChange.java
@@ -35,4 +35,16 @@
     putDatabases = List.copyOf(putDatabases);
     removeDatabases = List.copyOf(removeDatabases);
   }
+
+  /** Returns the number of items that are added, replaced or removed. */
+  int itemCount() {
+    return putClasses.size()
+        + removeClasses.size()
+        + putCustomers.size()
+        + removeCustomers.size()
+        + putOpenRoutes.size()
+        + removeOpenRoutes.size()
+        + putDatabases.size()
+        + removeDatabases.size();
+  }
 }
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/consensus/ConsensusNodeTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/consensus/ConsensusNodeTests.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.notNullValue;
 
@@ -19,6 +20,8 @@
 import org.cowslipdale.core.consensus.FakeVoters.Member;
 import org.cowslipdale.core.control.ControlState;
 import org.cowslipdale.core.view.ApiKey;
+import org.cowslipdale.core.view.Configuration;
+import org.cowslipdale.core.view.DeclaredDocument;
 import org.cowslipdale.core.view.ViewCommand;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -66,6 +69,58 @@
     assertThat(sent, is(40));
   }
 
+  /**
+   * Guards against voters that run out of heap beside a follower that lacks many large
+   * configurations: the entries of a message are bounded in bytes.
+   */
+  @Test
+  void boundsBytesOfEntriesInMessage() {
+    FakeVoters voters = new FakeVoters(1, "vm1", "vm2", "vm3");
+    Member leader = voters.awaitLeader(MAX_WAIT_MILLIS);
+    voters.run(1_000);
+    int configurations = 40;
+    String text = "x".repeat(200_000);
+    for (int version = 1; version <= configurations; version++) {
+      DeclaredDocument document = new DeclaredDocument(version, text);
+      leader.node.propose(
+          new LogEntry.Command(
+              new ViewCommand.ReplaceConfiguration(document, Configuration.EMPTY, List.of())),
+          voters.now());
+    }
+
+    VoterId follower = followerOf(leader);
+    List<AppendRequest> requests = new ArrayList<>();
+    AppendReply behind = new AppendReply(leader.node.term(), follower, false, 1, voters.now());
+    requests.addAll(requestsTo(follower, leader.node.receive(behind, voters.now())));
+    for (int i = 0; i < requests.size(); i++) {
+      long received = requests.get(i).previousLogIndex() + requests.get(i).entries().size();
+      AppendReply reply =
+          new AppendReply(leader.node.term(), follower, true, received, voters.now());
+      requests.addAll(requestsTo(follower, leader.node.receive(reply, voters.now())));
+    }
+
+    List<LogEntry> sent = requests.stream().flatMap(r -> r.entries().stream()).toList();
+    assertThat(sent, is(leader.node.entriesAfterSnapshot().subList(1, 1 + configurations)));
+    for (AppendRequest request : requests) {
+      long bytes = request.entries().stream().mapToLong(LogEntry::estimatedBytes).sum();
+      assertThat(bytes, lessThanOrEqualTo(ConsensusNode.MAX_BYTES_PER_MESSAGE));
+    }
+  }
+
+  private static VoterId followerOf(Member leader) {
+    String name = leader.name.equals("vm1") ? "vm2" : "vm1";
+    return new VoterId(name, VoterSet.INITIAL_IDENTITY);
+  }
+
+  private static List<AppendRequest> requestsTo(VoterId recipient, Output output) {
+    return output.messages().stream()
+        .filter(outbound -> outbound.recipient().equals(recipient.name()))
+        .map(Output.OutboundMessage::message)
+        .filter(AppendRequest.class::isInstance)
+        .map(AppendRequest.class::cast)
+        .toList();
+  }
+
   @Test
   void isolatedLeaderLosesLeaseBeforeNextElection() {
     FakeVoters voters = new FakeVoters(2, "vm1", "vm2", "vm3");
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -70,6 +70,9 @@
    */
   private static final int CONFIGURATIONS_PER_SNAPSHOT = 24;
 
+  /** The estimated size of the commands in the log at which a snapshot replaces them, in bytes. */
+  private static final long BYTES_PER_SNAPSHOT = 16 << 20;
+
   /**
    * The minimum interval between two notifications of changed configurations and members; far below
    * the time in which a configuration must be in force.
@@ -97,6 +100,7 @@
   private ControlState state;
   private long appliedIndex;
   private int configurationsSinceSnapshot;
+  private long bytesSinceSnapshot;
   private boolean broadcastPending;
   private long lastBroadcastMillis = Long.MIN_VALUE / 2;
   private @Nullable Leadership leadership;
@@ -147,6 +151,7 @@
     state = snapshot.state();
     appliedIndex = snapshot.index();
     configurationsSinceSnapshot = 0;
+    bytesSinceSnapshot = 0;
     recentCommands.reset(state.view().version());
   }
 
@@ -471,6 +476,7 @@
 
   private void apply(LogEntry entry) {
     appliedIndex = entry.index();
+    bytesSinceSnapshot += entry.estimatedBytes();
     if (entry.payload() instanceof LogEntry.Voters change
         && change.voters().contains(node.self())) {
       LOG.info("this VM takes part as a voter");
@@ -553,13 +559,15 @@
 
   private void compactIfDue() {
     if (appliedIndex - store.snapshot().index() < ENTRIES_PER_SNAPSHOT
-        && configurationsSinceSnapshot < CONFIGURATIONS_PER_SNAPSHOT) {
+        && configurationsSinceSnapshot < CONFIGURATIONS_PER_SNAPSHOT
+        && bytesSinceSnapshot < BYTES_PER_SNAPSHOT) {
       return;
     }
     try {
       Snapshot snapshot = node.compact(state, appliedIndex);
       store.compact(snapshot, node.entriesAfterSnapshot());
       configurationsSinceSnapshot = 0;
+      bytesSinceSnapshot = 0;
     } catch (StorageException e) {
       LOG.error("Failed to store the snapshot; this VM does not vote until it can", e);
       beginStorageOutage(e);
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/VoterTests.java
@@ -11,6 +11,7 @@
 import static org.hamcrest.Matchers.sameInstance;
 
 import java.io.IOException;
+import java.lang.ref.WeakReference;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -18,6 +19,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.cowslipdale.core.backend.BackendRegistry;
+import org.cowslipdale.core.consensus.LogEntry;
 import org.cowslipdale.core.failover.PrimaryTrafficMonitor;
 import org.cowslipdale.core.failover.PromotionMode;
 import org.cowslipdale.core.result.ResultCode;
@@ -253,6 +255,37 @@
     }
   }
 
+  /**
+   * Guards against voters that run out of heap after some hundred changes of a large configuration.
+   * All voters retain the same commands, so they would end together.
+   */
+  @Test
+  void retainsFewReplacedConfigurations() {
+    List<WeakReference<DeclaredDocument>> documents = new ArrayList<>();
+    for (int version = 1; version <= 200; version++) {
+      DeclaredDocument document = new DeclaredDocument(version, "{}");
+      documents.add(new WeakReference<>(document));
+      voter.propose(new ViewCommand.ReplaceConfiguration(document, Configuration.EMPTY, List.of()));
+    }
+
+    System.gc();
+    long retained = documents.stream().filter(document -> document.get() != null).count();
+    assertThat(retained, is(lessThan(30L)));
+  }
+
+  /** The log between two snapshots is bounded in bytes, whatever its number of entries. */
+  @Test
+  void retainsLogWithinMemoryLimit() {
+    String text = "x".repeat(1 << 20);
+    for (int version = 1; version <= 20; version++) {
+      DeclaredDocument document = new DeclaredDocument(version, text);
+      voter.propose(new ViewCommand.ReplaceConfiguration(document, Configuration.EMPTY, List.of()));
+    }
+
+    long bytes = store.entries().stream().mapToLong(LogEntry::estimatedBytes).sum();
+    assertThat(bytes, is(lessThan(16L << 20)));
+  }
+
   private ChangeReply proposeConfiguration(long version) throws Exception {
     DeclaredDocument document = new DeclaredDocument(version, "{}");
     return voter
