Let a server that was rejected once be promoted later

Cause: GroupFailover.rejectedServers was cleared only by a completed promotion. Evidence: the new test of ServicePromotionTests was red before (no promotion within 10 s).

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
@@ -6,12 +6,10 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import org.cowslipdale.core.backend.BackendGroup;
 import org.cowslipdale.core.backend.BackendServer;
 import org.cowslipdale.core.backend.ServerRole;
@@ -70,6 +68,12 @@
   /** How long a promotion by the external service may take before another term is begun. */
   private static final long SERVICE_TIMEOUT_MILLIS = 6_000;
 
+  /**
+   * How long a server that the external service has rejected is left out. The service rejects a
+   * server that is down, and the server may be running again by then.
+   */
+  private static final long REJECTION_MILLIS = 2_000;
+
   /**
    * How long a new leader waits for an announcement of the primary before it considers the primary
    * failed: long enough for two announcements and a repeated one.
@@ -89,7 +93,7 @@
   private @Nullable String promotionTarget;
   private boolean promotionAccepted;
   private long lastServiceRequestMillis;
-  private final Set<String> rejectedServers = new HashSet<>();
+  private final Map<String, Long> rejectionMillis = new HashMap<>();
   private long lastCompletionMillis = Long.MIN_VALUE / 2;
   private long lastCompletedTerm;
 
@@ -169,7 +173,7 @@
     if (accepted) {
       promotionAccepted = true;
     } else {
-      rejectedServers.add(request.server());
+      rejectionMillis.put(request.server(), now);
       restartInNewTerm(now);
     }
   }
@@ -441,16 +445,24 @@
   }
 
   /**
-   * Returns the servers with a known position that the service has not rejected, sorted by name.
+   * Returns the servers with a known position that the service has not rejected recently, sorted by
+   * name.
    */
   private List<BackendServer> candidates(Situation situation) {
     List<BackendServer> candidates = new ArrayList<>(situation.group().servers().values());
     candidates.removeIf(
-        server -> !positions.containsKey(server.name()) || rejectedServers.contains(server.name()));
+        server ->
+            !positions.containsKey(server.name()) || isRejected(server.name(), situation.now()));
     candidates.sort(Comparator.comparing(BackendServer::name));
     return candidates;
   }
 
+  /** Returns whether the service has rejected a server a short time ago. */
+  private boolean isRejected(String server, long now) {
+    Long rejected = rejectionMillis.get(server);
+    return rejected != null && now - rejected < REJECTION_MILLIS;
+  }
+
   private void tickPromoting(Situation situation, List<FailoverAction> actions) {
     if (abandonIfTermSuperseded(situation)) {
       return;
@@ -483,7 +495,7 @@
             .filter(known -> known.announcedAtMillis() >= stepStartMillis)
             .isPresent();
     if (promotionAccepted && announcedAsPrimary) {
-      rejectedServers.clear();
+      rejectionMillis.clear();
       actions.add(completeTerm(server, 0, situation.now()));
     } else if (situation.now() - stepStartMillis >= SERVICE_TIMEOUT_MILLIS) {
       restartInNewTerm(situation.now());
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/failover/ServicePromotionTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/failover/ServicePromotionTests.java
@@ -175,6 +175,36 @@
     assertThat(next.fence(), greaterThan(rejected.fence()));
   }
 
+  /**
+   * Guards against a database without a primary for good: the service rejects a server that is down
+   * at that moment, and every remaining server may have been.
+   */
+  @Test
+  void promotesServerAgainThatWasRejectedEarlier() {
+    coordinator.handlePromotionReply(suspectPrimaryAndAwaitPromotion(), false, now);
+    coordinator.handlePromotionReply(awaitNextPromotion(), false, now);
+
+    RequestPromotion next = awaitNextPromotion();
+
+    assertThat(next.server(), is("bonds-3"));
+  }
+
+  /** Ticks until another term is begun and a promotion is requested in it. */
+  private RequestPromotion awaitNextPromotion() {
+    applyProposal(single(tick()));
+    for (int i = 0; i < 400; i++) {
+      for (FailoverAction action : tick()) {
+        if (action instanceof RequestPromotion promote) {
+          return promote;
+        }
+      }
+      reportPosition("bonds-2", 10);
+      reportPosition("bonds-3", 20);
+      now += 25;
+    }
+    throw new AssertionError("no promotion within 10 s");
+  }
+
   @Test
   void waitsForReplicasToCatchUpWithLeavingPrimary() {
     announce("bonds-1", ServerRole.PRIMARY, true);
