Create a data folder again whose creation was not finished

Cause: the folder was neither empty nor complete.

A file marks the folder until the creation is synced; a folder that contains it was never used and counts as empty.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/storage/ControlStore.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/storage/ControlStore.java
@@ -30,8 +30,10 @@
  * <p>{@link #store} returns only after all data is synced to disk. The file {@code state} contains
  * the promised index: the index of the last entry that was reported as stored. A log that ends
  * before this entry is damaged or truncated, and the folder cannot be opened. A torn block after
- * this entry is the result of a crash during a write and is discarded. After a failed write,
- * nothing is stored until {@link #recover} has succeeded. This class is confined to one thread.
+ * this entry is the result of a crash during a write and is discarded. The file {@code creating}
+ * exists while the folder is created; a folder that contains it was never used and counts as empty.
+ * After a failed write, nothing is stored until {@link #recover} has succeeded. This class is
+ * confined to one thread.
  */
 public final class ControlStore implements AutoCloseable {
 
@@ -40,6 +42,7 @@
   private static final String SNAPSHOT_FILE = "snapshot";
   private static final String LOG_FILE = "log";
   private static final String LOCK_FILE = "lock";
+  private static final String CREATING_FILE = "creating";
 
   private final Path folder;
   private final FileChannel lockChannel;
@@ -73,7 +76,7 @@
   /**
    * Creates the data folder of a voter of a new fleet.
    *
-   * @param folder the data folder; it must be absent or empty
+   * @param folder the data folder; it must be absent or empty, or left by an unfinished creation
    * @param voters the names of all voters
    * @throws StorageException if the folder is not empty or cannot be written
    */
@@ -82,8 +85,9 @@
   }
 
   /**
-   * Opens a data folder. An absent or empty folder is initialized for a replacement, which cannot
-   * vote until the leader has added it to the voters.
+   * Opens a data folder. An absent or empty folder, or one that was left by an unfinished creation,
+   * is initialized for a replacement, which cannot vote until the leader has added it to the
+   * voters.
    *
    * @param folder the data folder
    * @throws StorageException if the folder is damaged, in use, or cannot be read or written
@@ -203,10 +207,17 @@
             null);
       }
       Files.createDirectories(folder);
+      Path marker = folder.resolve(CREATING_FILE);
+      if (!Files.exists(marker)) {
+        Files.createFile(marker);
+      }
+      ChecksummedFile.syncFolder(marker);
       byte[] initialSnapshot = CODEC.writeValueAsBytes(Snapshot.initial(voters));
       ChecksummedFile.replace(folder.resolve(SNAPSHOT_FILE), initialSnapshot);
       State state = new State(new HardState(identity, 0, null), 0);
       ChecksummedFile.replace(folder.resolve(STATE_FILE), CODEC.writeValueAsBytes(state));
+      Files.delete(marker);
+      ChecksummedFile.syncFolder(marker);
     } catch (IOException e) {
       throw notWritableException(e);
     }
@@ -236,7 +247,7 @@
   }
 
   /**
-   * Returns whether a data folder is absent or empty.
+   * Returns whether a data folder is absent or empty, or was left by an unfinished creation.
    *
    * @param folder the data folder
    * @throws StorageException if the folder cannot be read
@@ -251,7 +262,7 @@
   }
 
   private static boolean isAbsentOrEmpty(Path folder) throws IOException {
-    if (!Files.exists(folder)) {
+    if (!Files.exists(folder) || Files.exists(folder.resolve(CREATING_FILE))) {
       return true;
     }
     try (Stream<Path> files = Files.list(folder)) {
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/storage/ControlStoreTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/storage/ControlStoreTests.java
@@ -148,6 +148,31 @@
     }
   }
 
+  /**
+   * Guards against a VM that never starts again after it was killed while it created its data
+   * folder. A folder under the name of a temporary file ends the creation at that point.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"snapshot.new", "state.new"})
+  void createsFolderAgainAfterUnfinishedCreation(String unwritableFile) throws Exception {
+    Path unfinished = parent.resolve("unfinished");
+    Path obstacle = unfinished.resolve(unwritableFile);
+    Files.createDirectories(obstacle);
+    Files.createFile(unfinished.resolve("creating"));
+    assertThrows(StorageException.class, () -> ControlStore.open(unfinished));
+    Files.delete(obstacle);
+
+    assertThat(ControlStore.isEmpty(unfinished), is(true));
+    try (ControlStore store = ControlStore.open(unfinished)) {
+      assertThat(store.snapshot().voters(), is(VoterSet.NONE));
+      store.store(new Output(null, null, 0, entries(1, 3), List.of(), List.of()));
+    }
+    assertThat(ControlStore.isEmpty(unfinished), is(false));
+    try (ControlStore store = ControlStore.open(unfinished)) {
+      assertThat(store.entries(), is(entries(1, 3)));
+    }
+  }
+
   @Test
   void rejectsSecondInitialization() {
     StorageException e =
