Wait in two tests until both connections of a pool are in use

The tests waited until the second held write had arrived and took for granted that the first one had, which runs on a thread of its own. They now wait for both.

--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
@@ -75,6 +75,7 @@
   void aReadLeavesTheQueueOfThePrimaryWhenAReplicaMayServeIt() throws Exception {
     startHeld("write-1");
     CountDownLatch second = startHeld("write-2");
+    awaitRun("bonds-1 write-1");
     awaitRun("bonds-1 write-2");
     startHeld("write-3");
     Thread.sleep(20);
@@ -192,6 +193,7 @@
   void returnsTokenOfStatementThatReachedNoServer() throws Exception {
     startHeld("write-1");
     startHeld("write-2");
+    awaitRun("bonds-1 write-1");
     awaitRun("bonds-1 write-2");
 
     try {
