--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/AdminServer.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/AdminServer.java
@@ -40,6 +40,7 @@
 import org.cowslipdale.core.view.ConfigurationChange;
 import org.cowslipdale.core.view.View;
 import org.cowslipdale.core.view.ViewCommand;
+import org.cowslipdale.daemon.adapter.RequestBody;
 import org.cowslipdale.daemon.control.ControlPlane;
 import org.cowslipdale.daemon.peer.PeerMessage.FleetQuery;
 import org.cowslipdale.daemon.peer.PeerMessage.FleetReply;
@@ -61,6 +62,9 @@
   private static final ObjectMapper JSON = Codecs.json();
   private static final String BEARER = "Bearer ";
 
+  /** The maximum size of a request body, such as a whole configuration. */
+  private static final int MAX_BODY_BYTES = 1 << 20;
+
   private final Vertx vertx;
   private final DaemonSettings settings;
   private final ControlPlane control;
@@ -106,19 +110,25 @@
   }
 
   private void handleRequest(HttpServerRequest request) {
-    request
-        .body()
-        .onSuccess(
-            body -> {
-              try {
-                dispatch(request, body);
-              } catch (CowslipException e) {
-                sendError(request, e.code(), String.valueOf(e.getMessage()));
-              } catch (IOException e) {
-                LOG.debug("cannot parse the administration request", e);
-                sendError(request, ResultCode.BAD_REQUEST, ResultCode.BAD_REQUEST.text());
-              }
-            });
+    RequestBody.receive(
+        request,
+        MAX_BODY_BYTES,
+        body -> handleBody(request, body),
+        () -> {
+          request.response().putHeader("Connection", "close");
+          sendError(request, ResultCode.REQUEST_TOO_LARGE, ResultCode.REQUEST_TOO_LARGE.text());
+        });
+  }
+
+  private void handleBody(HttpServerRequest request, Buffer body) {
+    try {
+      dispatch(request, body);
+    } catch (CowslipException e) {
+      sendError(request, e.code(), String.valueOf(e.getMessage()));
+    } catch (IOException e) {
+      LOG.debug("cannot parse the administration request", e);
+      sendError(request, ResultCode.BAD_REQUEST, ResultCode.BAD_REQUEST.text());
+    }
   }
 
   private void dispatch(HttpServerRequest request, Buffer body)
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/CallerServer.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/CallerServer.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cowslipdale.config.settings.DaemonSettings;
 import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.daemon.adapter.RequestBody;
 import org.cowslipdale.daemon.telemetry.RequestMetrics;
 import org.cowslipdale.daemon.telemetry.Tracing;
 import org.jspecify.annotations.Nullable;
@@ -135,24 +136,15 @@
 
   private void receive(HttpServerRequest request) {
     countUntilAnswered(request.response());
-    int maxBody = settings.limits().maxBodyBytes();
-    Buffer body = Buffer.buffer();
-    request.handler(
-        chunk -> {
-          if (body.length() + chunk.length() <= maxBody) {
-            body.appendBuffer(chunk);
-          } else if (!request.response().ended()) {
-            Reply reply =
-                Replies.error(ResultCode.REQUEST_TOO_LARGE, ResultCode.REQUEST_TOO_LARGE.text());
-            request.response().putHeader("Connection", "close");
-            send(request.response(), reply);
-          }
-        });
-    request.endHandler(
-        ignored -> {
-          if (!request.response().ended()) {
-            admit(request, body);
-          }
+    RequestBody.receive(
+        request,
+        settings.limits().maxBodyBytes(),
+        body -> admit(request, body),
+        () -> {
+          request.response().putHeader("Connection", "close");
+          send(
+              request.response(),
+              Replies.error(ResultCode.REQUEST_TOO_LARGE, ResultCode.REQUEST_TOO_LARGE.text()));
         });
   }
 
