Answer statements that fail unexpectedly and free their slot

The statement is now answered with INTERNAL_ERROR, whose outcome is unknown, and the session closes. Slot, permit and connection are released whatever the error. SessionServerTests: red while only the slot was released (the third statement waited for the permit), 6 green now.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/CallerSession.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/CallerSession.java
@@ -269,11 +269,13 @@
       Event event = nextEvent(session);
       switch (event) {
         case Event.Run run -> {
-          SessionReply reply = session.execute(run.statement(), run.receivedMillis());
+          SessionReply reply = execute(session, run);
           transactionOpen = session.state() != TransactionState.IDLE;
           logRefusal(run, reply);
           channel.reply(reply);
-          if (draining && !transactionOpen) {
+          boolean failed =
+              reply.refusal() != null && reply.refusal().code() == ResultCode.INTERNAL_ERROR;
+          if (failed || (draining && !transactionOpen)) {
             return;
           }
         }
@@ -299,6 +301,16 @@
     }
   }
 
+  /** Executes a statement; after an unexpected error it is not known whether it has run. */
+  private static SessionReply execute(Session session, Event.Run run) {
+    try {
+      return session.execute(run.statement(), run.receivedMillis());
+    } catch (RuntimeException e) {
+      LOG.error("Statement {} failed unexpectedly", run.statement().id(), e);
+      return SessionReply.refused(new RefusalException(ResultCode.INTERNAL_ERROR), session.state());
+    }
+  }
+
   private void logRefusal(Event.Run run, SessionReply reply) {
     RefusalException refusal = reply.refusal();
     if (refusal != null) {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
@@ -98,13 +98,15 @@
       throws RefusalException, BackendException {
     TicketFuture.awaitSlot(queue, customer, slotDeadlineMillis, clock.millis());
     long acquiredMillis = clock.millis();
+    PooledSession session = null;
     try {
-      return new Checkout(
-          takeOrConnect(customer, values, slotDeadlineMillis, deadlineMillis), acquiredMillis);
-    } catch (BackendException | RefusalException e) {
-      TicketFuture.wake(queue.release(0, clock.millis()));
-      throw e;
+      session = takeOrConnect(customer, values, slotDeadlineMillis, deadlineMillis);
+    } finally {
+      if (session == null) {
+        TicketFuture.wake(queue.release(0, clock.millis()));
+      }
     }
+    return new Checkout(session, acquiredMillis);
   }
 
   @Override
@@ -137,13 +139,16 @@
       return reusable;
     }
     awaitPermit(slotDeadlineMillis);
+    ServerConnection connection = null;
     try {
       long timeout = Math.clamp(deadlineMillis - clock.millis(), 1, CONNECT_TIMEOUT_MILLIS);
-      return new PooledSession(connector.connect(server, customer, timeout), customer);
-    } catch (BackendException e) {
-      permits.recordClosed(server.server());
-      throw e;
+      connection = connector.connect(server, customer, timeout);
+    } finally {
+      if (connection == null) {
+        permits.recordClosed(server.server());
+      }
     }
+    return new PooledSession(connection, customer);
   }
 
   /**
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -317,7 +317,7 @@
         handleBrokenConnection(
             target, e, prepared && e.mayHaveReachedServer(), context.clock().millis() - sentMillis);
         return Optional.empty();
-      } catch (RefusalException e) {
+      } catch (RefusalException | RuntimeException e) {
         checkout.close();
         throw e;
       }
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/FakeServers.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/FakeServers.java
@@ -26,6 +26,7 @@
   private volatile long connectDelayMillis;
   private volatile long statementDelayMillis;
   private volatile boolean breakOnPrepare;
+  private volatile boolean failOnConnect;
 
   /** Delays the reply to a statement until the returned latch is released. */
   CountDownLatch holdAnswer(String id) {
@@ -37,6 +38,11 @@
     connectDelayMillis = millis;
   }
 
+  /** Makes the opening of connections fail with an unexpected error, or not any more. */
+  void failOnConnect(boolean fail) {
+    failOnConnect = fail;
+  }
+
   /** Delays the arrival of every later statement. */
   void delayStatements(long millis) {
     statementDelayMillis = millis;
@@ -58,6 +64,9 @@
   public ServerConnection connect(ServerRef server, String customer, long timeoutMillis)
       throws BackendException {
     pause(connectDelayMillis);
+    if (failOnConnect) {
+      throw new IllegalStateException("unexpected");
+    }
     return new Connection(server.server());
   }
 
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionServerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionServerTests.java
@@ -116,6 +116,30 @@
     answer.countDown();
   }
 
+  /**
+   * Guards against a session that ends without an answer after an unexpected error, and against a
+   * slot of the server's pool that stays in use.
+   */
+  @Test
+  void answersStatementsThatFailUnexpectedly() throws Exception {
+    fixture.servers().failOnConnect(true);
+    for (int i = 0; i < 3; i++) {
+      Caller caller = new Caller(false);
+      caller.open();
+      caller.send(new Statement.Access("failing-" + i, "READ a", false));
+      assertThat(caller.closed.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), is(true));
+      assertThat(caller.refusalCodes(), is(List.of(ResultCode.INTERNAL_ERROR)));
+    }
+    fixture.servers().failOnConnect(false);
+
+    Caller caller = new Caller(false);
+    caller.open();
+    caller.send(new Statement.Access("read-1", "READ a", false));
+
+    assertThat(await(() -> caller.replies.size() == 1), is(true));
+    assertThat(caller.refusalCodes(), is(List.of()));
+  }
+
   private static boolean await(BooleanSupplier condition) {
     for (long waited = 0; waited < TIMEOUT_MILLIS && !condition.getAsBoolean(); waited += 5) {
       SessionFixture.pause(5);
