Refuse a session whose opening arrives while its connection closes

A connection without a session is closed when the drain begins. A request to open a session that arrived in this moment got no answer; it is refused with SHUTTING_DOWN now. SessionServerTests: 7 green.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/CallerSession.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/CallerSession.java
@@ -181,7 +181,7 @@
       closed = true;
       if (draining) {
         drained = true;
-        refuseQueuedStatements();
+        refuseQueuedInput();
       }
       channel.close();
       onEnd.run();
@@ -197,19 +197,20 @@
       handleDisconnect();
     }
     if (drained) {
-      refuseQueuedStatements();
+      refuseQueuedInput();
     }
   }
 
-  /** Answers the statements that arrived while the session ended; none of them has run. */
-  private void refuseQueuedStatements() {
+  /** Answers the input that arrived while the session ended; nothing of it has run. */
+  private void refuseQueuedInput() {
+    RefusalException refusal = new RefusalException(ResultCode.SHUTTING_DOWN);
     for (Event event = events.poll(); event != null; event = events.poll()) {
       if (event instanceof Event.Run run) {
-        SessionReply reply =
-            SessionReply.refused(
-                new RefusalException(ResultCode.SHUTTING_DOWN), TransactionState.IDLE);
+        SessionReply reply = SessionReply.refused(refusal, TransactionState.IDLE);
         logRefusal(run, reply);
         channel.reply(reply);
+      } else if (event instanceof Event.Open) {
+        channel.refuse(refusal);
       }
     }
   }
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionServerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionServerTests.java
@@ -94,6 +94,19 @@
     assertThat(caller.rejections.element().code(), is(ResultCode.SHUTTING_DOWN));
   }
 
+  /** A connection without a session is closed, and a late request to open one is refused. */
+  @Test
+  void drainClosesConnectionWithoutSession() throws Exception {
+    Caller caller = new Caller(false);
+
+    server.drain();
+
+    assertThat(caller.closed.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), is(true));
+    caller.open();
+    assertThat(caller.rejections, hasSize(1));
+    assertThat(caller.rejections.element().code(), is(ResultCode.SHUTTING_DOWN));
+  }
+
   /**
    * Guards against statements that are cut when the time limit of a planned stop is reached. The
    * caller must learn whether its statement may have run.
