--- a/cowslipdale-config/src/main/java/org/cowslipdale/config/settings/DaemonSettings.java
+++ b/cowslipdale-config/src/main/java/org/cowslipdale/config/settings/DaemonSettings.java
@@ -22,6 +22,8 @@
  * @param promotionService the external service that performs promotions, if there is one
  * @param addressTranslations the addresses to connect to instead of announced addresses, by
  *     announced address
+ * @param featureNames the names of optional features that the deployment asks for, including names
+ *     that only an adapter knows
  */
 public record DaemonSettings(
     Vm vm,
@@ -33,12 +35,14 @@
     Policy policy,
     Map<String, String> regions,
     Optional<PromotionService> promotionService,
-    Map<String, String> addressTranslations) {
+    Map<String, String> addressTranslations,
+    List<String> featureNames) {
 
-  /** Copies the maps. */
+  /** Copies the collections. */
   public DaemonSettings {
     regions = Map.copyOf(regions);
     addressTranslations = Map.copyOf(addressTranslations);
+    featureNames = List.copyOf(featureNames);
   }
 
   /**
--- a/cowslipdale-config/src/main/java/org/cowslipdale/config/settings/DaemonSettingsReader.java
+++ b/cowslipdale-config/src/main/java/org/cowslipdale/config/settings/DaemonSettingsReader.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.cowslipdale.config.ini.IniException;
 import org.cowslipdale.config.ini.IniFile;
 import org.cowslipdale.config.ini.IniProblem;
@@ -38,7 +39,8 @@
           "policy",
           "regions",
           "promotion-service",
-          "address-translation");
+          "address-translation",
+          "features");
   private static final List<String> REQUIRED_SECTIONS =
       List.of("vm", "listen", "control", "secrets");
 
@@ -74,7 +76,8 @@
             readPolicy(),
             readRegions(),
             readPromotionService(),
-            readTranslations());
+            readTranslations(),
+            readFeatureNames());
     if (!problems.isEmpty()) {
       throw new IniException(problems);
     }
@@ -201,6 +204,18 @@
     return secrets;
   }
 
+  /** Reads the names of features; unknown names are allowed, because adapters define their own. */
+  private List<String> readFeatureNames() {
+    SectionReader reader = reader("features");
+    List<String> names =
+        Stream.of(reader.text("enabled", "").split(","))
+            .map(String::strip)
+            .filter(name -> !name.isEmpty())
+            .toList();
+    reader.reportUnknownKeys();
+    return names;
+  }
+
   private Limits readLimits() {
     SectionReader reader = reader("limits");
     Limits limits =
--- a/cowslipdale-config/src/test/java/org/cowslipdale/config/settings/DaemonSettingsReaderTests.java
+++ b/cowslipdale-config/src/test/java/org/cowslipdale/config/settings/DaemonSettingsReaderTests.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import org.cowslipdale.config.ini.IniException;
 import org.cowslipdale.config.ini.IniFile;
@@ -95,6 +96,24 @@
     assertThat(e.problems(), hasSize(2));
   }
 
+  /** A platform may list names that the daemon does not know; they must not prevent its start. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = ';',
+      value = {
+        "enabled = priority-admission, adaptive-capacity; PRIORITY_ADMISSION ADAPTIVE_CAPACITY",
+        "enabled = base,sql,priority-admission; PRIORITY_ADMISSION",
+        "enabled = base; ''",
+        "enabled =; ''"
+      })
+  void readsKnownFeaturesAndIgnoresOtherNames(String line, String expected) throws IniException {
+    DaemonSettings settings = read(VALID + "\n[features]\n" + line + "\n");
+
+    assertThat(
+        Feature.named(settings.featureNames()).stream().map(Feature::name).toList(),
+        is(expected.isEmpty() ? List.of() : List.of(expected.split(" "))));
+  }
+
   private static DaemonSettings read(String text) throws IniException {
     return DaemonSettingsReader.read(IniFile.parse("vm1.ini", text));
   }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/adapter/Adapter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/adapter/Adapter.java
@@ -2,7 +2,9 @@
 
 import io.vertx.core.Vertx;
 import java.util.List;
+import java.util.Set;
 import org.cowslipdale.config.settings.DaemonSettings;
+import org.cowslipdale.config.settings.Feature;
 import org.cowslipdale.daemon.connection.PromotionService;
 import org.cowslipdale.daemon.connection.ServerStatusClient;
 import org.cowslipdale.daemon.session.SessionConnector;
@@ -42,4 +44,14 @@
    * @param services the services of the daemon that the endpoints use
    */
   List<Endpoint> endpoints(Vertx vertx, DaemonSettings settings, DaemonServices services);
+
+  /**
+   * Returns the optional features that the settings ask for. An adapter may translate names of its
+   * platform.
+   *
+   * @param settings the settings of the daemon
+   */
+  default Set<Feature> features(DaemonSettings settings) {
+    return Feature.named(settings.featureNames());
+  }
 }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
@@ -116,7 +116,8 @@
             backoff,
             trafficMonitor,
             control.rateLimiter(),
-            clock);
+            clock,
+            adapter.features(settings));
     PrimaryChecker checker =
         new PrimaryChecker(views, registry, connector, trafficMonitor, clock, control::renewLease);
     SessionServer server = new SessionServer(context, checker);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionContext.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionContext.java
@@ -2,6 +2,8 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.Set;
+import org.cowslipdale.config.settings.Feature;
 import org.cowslipdale.core.backend.BackendRegistry;
 import org.cowslipdale.core.backend.ServerBackoff;
 import org.cowslipdale.core.backend.ServerHealth;
@@ -27,6 +29,7 @@
  * @param trafficMonitor the monitor of which primaries answer
  * @param limiter the rate limiter for customers
  * @param clock the VM's clock
+ * @param features the optional features in use
  */
 public record SessionContext(
     ViewHolder views,
@@ -39,9 +42,10 @@
     ServerBackoff backoff,
     PrimaryTrafficMonitor trafficMonitor,
     RateLimiter limiter,
-    VmClock clock) {
+    VmClock clock,
+    Set<Feature> features) {
 
-  /** Checks that no component is null. */
+  /** Copies the features and checks that no component is null. */
   public SessionContext {
     requireNonNull(views, "views");
     requireNonNull(registry, "registry");
@@ -54,5 +58,6 @@
     requireNonNull(trafficMonitor, "trafficMonitor");
     requireNonNull(limiter, "limiter");
     requireNonNull(clock, "clock");
+    features = Set.copyOf(features);
   }
 }
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionFixture.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionFixture.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.cowslipdale.core.backend.Announcement;
 import org.cowslipdale.core.backend.BackendRegistry;
 import org.cowslipdale.core.backend.ServerBackoff;
@@ -114,7 +115,8 @@
         backoff,
         new PrimaryTrafficMonitor(),
         limiter,
-        clock);
+        clock,
+        Set.of());
   }
 
   PrimaryChecker checker(SessionContext context) {
