Control log: commands that begin and end the evacuation of a failure domain

Cause: an operator cannot order that nothing more is sent to the servers of a failure domain.

Change: the view holds the set of evacuated failure domains, at most 1,000. Both commands are idempotent and a repeat creates no new version. All other commands keep the set, also one that replaces the configuration. Views stored or sent without the field have no evacuations.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/view/CommandSize.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/view/CommandSize.java
@@ -23,6 +23,8 @@
       case ViewCommand.RegisterVm vm -> ITEM_BYTES;
       case ViewCommand.BeginTerm term -> ITEM_BYTES;
       case ViewCommand.CompleteTerm term -> ITEM_BYTES;
+      case ViewCommand.BeginEvacuation evacuation -> ITEM_BYTES;
+      case ViewCommand.EndEvacuation evacuation -> ITEM_BYTES;
     };
   }
 }
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/view/View.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/view/View.java
@@ -4,9 +4,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.view.DatabaseState.TermStart;
 import org.jspecify.annotations.Nullable;
@@ -26,6 +28,8 @@
  * @param vms the registered VMs, by name
  * @param document the last document that replaced the whole configuration, or {@link
  *     DeclaredDocument#NONE}
+ * @param evacuatedDomains the failure domains to whose servers nothing is sent; a view that was
+ *     stored before evacuations existed has none
  */
 public record View(
     long version,
@@ -34,11 +38,13 @@
     Map<String, ApiKey> keys,
     Map<String, DatabaseState> databases,
     Map<String, VmRecord> vms,
-    DeclaredDocument document) {
+    DeclaredDocument document,
+    Set<String> evacuatedDomains) {
 
   /** The view before the first command. */
   public static final View EMPTY =
-      new View(0, 0, Configuration.EMPTY, Map.of(), Map.of(), Map.of(), DeclaredDocument.NONE);
+      new View(
+          0, 0, Configuration.EMPTY, Map.of(), Map.of(), Map.of(), DeclaredDocument.NONE, Set.of());
 
   /**
    * The time between the proposal of a change to the set of claim holders and its effect, in
@@ -52,17 +58,21 @@
    */
   public static final long CLAIM_RETENTION_MILLIS = 600_000;
 
-  /** Copies the maps. */
+  /** The maximum number of evacuated failure domains, which bounds the size of the view. */
+  public static final int MAX_EVACUATED_DOMAINS = 1_000;
+
+  /** Copies the maps and the set. */
   public View {
     requireNonNull(configuration, "configuration");
     keys = Map.copyOf(keys);
     databases = Map.copyOf(databases);
     vms = Map.copyOf(vms);
     requireNonNull(document, "document");
+    evacuatedDomains = evacuatedDomains == null ? Set.of() : Set.copyOf(evacuatedDomains);
   }
 
   /**
-   * Creates a view without a declared document.
+   * Creates a view without a declared document and without evacuated failure domains.
    *
    * @param version the number of commands accepted so far
    * @param configurationVersion the number of configuration changes accepted so far
@@ -78,7 +88,15 @@
       Map<String, ApiKey> keys,
       Map<String, DatabaseState> databases,
       Map<String, VmRecord> vms) {
-    this(version, configurationVersion, configuration, keys, databases, vms, DeclaredDocument.NONE);
+    this(
+        version,
+        configurationVersion,
+        configuration,
+        keys,
+        databases,
+        vms,
+        DeclaredDocument.NONE,
+        Set.of());
   }
 
   /**
@@ -97,6 +115,8 @@
       case ViewCommand.RegisterVm register -> registerVm(register);
       case ViewCommand.BeginTerm begin -> beginTerm(begin);
       case ViewCommand.CompleteTerm complete -> completeTerm(complete);
+      case ViewCommand.BeginEvacuation begin -> beginEvacuation(begin.failureDomain());
+      case ViewCommand.EndEvacuation end -> endEvacuation(end.failureDomain());
     };
   }
 
@@ -134,7 +154,15 @@
     Map<String, DatabaseState> states = new HashMap<>(databases);
     states.keySet().retainAll(next.databases().keySet());
     return accepted(
-        new View(version + 1, configurationVersion + 1, next, remainingKeys, states, vms, document),
+        new View(
+            version + 1,
+            configurationVersion + 1,
+            next,
+            remainingKeys,
+            states,
+            vms,
+            document,
+            evacuatedDomains),
         "Configuration version %d is accepted.".formatted(configurationVersion + 1));
   }
 
@@ -158,7 +186,14 @@
     states.keySet().retainAll(next.databases().keySet());
     return accepted(
         new View(
-            version + 1, configurationVersion + 1, next, nextKeys, states, vms, command.document()),
+            version + 1,
+            configurationVersion + 1,
+            next,
+            nextKeys,
+            states,
+            vms,
+            command.document(),
+            evacuatedDomains),
         "Configuration version %d is accepted.".formatted(proposedVersion));
   }
 
@@ -275,18 +310,69 @@
             .formatted(command.primary(), command.database(), command.term()));
   }
 
+  private Transition beginEvacuation(String failureDomain) {
+    if (evacuatedDomains.contains(failureDomain)) {
+      return unchanged("Failure domain %s is evacuated already.".formatted(failureDomain));
+    }
+    if (evacuatedDomains.size() >= MAX_EVACUATED_DOMAINS) {
+      return rejected(ResultCode.INVALID_CHANGE, "Too many failure domains are evacuated.");
+    }
+    Set<String> next = new HashSet<>(evacuatedDomains);
+    next.add(failureDomain);
+    return accepted(
+        withEvacuatedDomains(next), "Failure domain %s is evacuated.".formatted(failureDomain));
+  }
+
+  private Transition endEvacuation(String failureDomain) {
+    if (!evacuatedDomains.contains(failureDomain)) {
+      return unchanged("Failure domain %s is not evacuated.".formatted(failureDomain));
+    }
+    Set<String> next = new HashSet<>(evacuatedDomains);
+    next.remove(failureDomain);
+    return accepted(
+        withEvacuatedDomains(next),
+        "The evacuation of failure domain %s ended.".formatted(failureDomain));
+  }
+
   private View withKeys(Map<String, ApiKey> next) {
     return new View(
-        version + 1, configurationVersion, configuration, next, databases, vms, document);
+        version + 1,
+        configurationVersion,
+        configuration,
+        next,
+        databases,
+        vms,
+        document,
+        evacuatedDomains);
   }
 
   private View withDatabases(Map<String, DatabaseState> next) {
-    return new View(version + 1, configurationVersion, configuration, keys, next, vms, document);
+    return new View(
+        version + 1,
+        configurationVersion,
+        configuration,
+        keys,
+        next,
+        vms,
+        document,
+        evacuatedDomains);
   }
 
   private View withVms(Map<String, VmRecord> next) {
     return new View(
-        version + 1, configurationVersion, configuration, keys, databases, next, document);
+        version + 1,
+        configurationVersion,
+        configuration,
+        keys,
+        databases,
+        next,
+        document,
+        evacuatedDomains);
+  }
+
+  private View withEvacuatedDomains(Set<String> next) {
+    return new View(
+        version + 1, configurationVersion, configuration, keys, databases, vms, document, next);
   }
 
   private static <T> Map<String, T> copyWithEntry(Map<String, T> base, String name, T value) {
@@ -299,6 +385,11 @@
     return new Transition(next, ResultCode.OK, message);
   }
 
+  /** Acknowledges a command that has been carried out already, without a new version. */
+  private Transition unchanged(String message) {
+    return new Transition(this, ResultCode.OK, message);
+  }
+
   private Transition rejected(ResultCode code, String message) {
     return new Transition(this, code, message);
   }
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/view/ViewCommand.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/view/ViewCommand.java
@@ -98,4 +98,18 @@
    */
   record CompleteTerm(String database, long term, String primary, long startOffset)
       implements ViewCommand {}
+
+  /**
+   * Evacuates a failure domain: its servers get no new work, and its primaries are replaced.
+   *
+   * @param failureDomain the name of the failure domain
+   */
+  record BeginEvacuation(String failureDomain) implements ViewCommand {}
+
+  /**
+   * Ends the evacuation of a failure domain.
+   *
+   * @param failureDomain the name of the failure domain
+   */
+  record EndEvacuation(String failureDomain) implements ViewCommand {}
 }
