Routers: send no work to servers of evacuated failure domains

Cause: both routers choose servers of an evacuated failure domain.

Change: Evacuations decides which servers may get work. The choice is checked again before anything is sent, session values included.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/result/ResultCode.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/result/ResultCode.java
@@ -75,6 +75,9 @@
   /** The statement did not complete within its time limit. */
   STATEMENT_TIMED_OUT(
       3009, 504, Outcome.UNKNOWN, "The statement was sent and did not end in time."),
+  /** Only a server of an evacuated failure domain could run the request. */
+  SERVER_EVACUATED(
+      3011, 503, Outcome.NOT_RUN, "Only a server of an evacuated failure domain could run this."),
   /** The VM that holds the transaction could not be reached. */
   VM_UNREACHABLE(3007, 504, Outcome.UNKNOWN, "The VM that holds the transaction is unreachable."),
 
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/DefaultRouter.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/DefaultRouter.java
@@ -53,7 +53,12 @@
 
   @Override
   public RouteDecision route(
-      RouteRequest request, BackendGroup group, DatabaseState state, LeaseStatus lease, long now) {
+      RouteRequest request,
+      BackendGroup group,
+      DatabaseState state,
+      LeaseStatus lease,
+      Evacuations evacuations,
+      long now) {
     LogPosition position = request.sessionPosition();
     if (position.term() > state.completedTerm()) {
       return new RouteDecision.Wait(ResultCode.NO_FRESH_SERVER);
@@ -62,9 +67,9 @@
       return new RouteDecision.Refuse(ResultCode.SESSION_POSITION_LOST);
     }
     if (needsPrimary(request)) {
-      return routeToPrimary(group, state, lease, now);
+      return routeToPrimary(group, state, lease, evacuations, now);
     }
-    return routeRead(request, group, state, lease, now);
+    return routeRead(request, group, state, lease, evacuations, now);
   }
 
   private static boolean needsPrimary(RouteRequest request) {
@@ -73,7 +78,11 @@
   }
 
   private static RouteDecision routeToPrimary(
-      BackendGroup group, DatabaseState state, LeaseStatus lease, long now) {
+      BackendGroup group,
+      DatabaseState state,
+      LeaseStatus lease,
+      Evacuations evacuations,
+      long now) {
     if (!lease.isValid(now)) {
       return new RouteDecision.Wait(ResultCode.NO_LEASE);
     }
@@ -81,19 +90,35 @@
     if (primary.isEmpty()) {
       return new RouteDecision.Wait(ResultCode.NO_PRIMARY);
     }
+    if (!evacuations.permits(primary.get(), true, now)) {
+      return new RouteDecision.Refuse(ResultCode.SERVER_EVACUATED);
+    }
     return new RouteDecision.RunOn(
         primary.get(), state.term(), new Conditions(true, 0, 0, ANY_AGE));
   }
 
   private RouteDecision routeRead(
-      RouteRequest request, BackendGroup group, DatabaseState state, LeaseStatus lease, long now) {
+      RouteRequest request,
+      BackendGroup group,
+      DatabaseState state,
+      LeaseStatus lease,
+      Evacuations evacuations,
+      long now) {
     long maxAgeMillis = lease.permittedAgeMillis(request.workClass().freshness(), now);
     if (maxAgeMillis < 0) {
       return new RouteDecision.Wait(ResultCode.NO_FRESH_SERVER);
     }
-    List<BackendServer> candidates = findCandidates(request, group, state, maxAgeMillis, now);
+    List<BackendServer> candidates =
+        findCandidates(request, group, state, evacuations, maxAgeMillis, now);
     if (candidates.isEmpty()) {
-      return new RouteDecision.Wait(ResultCode.NO_FRESH_SERVER);
+      boolean refused =
+          evacuations.coverAllServers(group)
+              && currentPrimary(group, state)
+                  .filter(primary -> evacuations.permits(primary, true, now))
+                  .isEmpty();
+      return refused
+          ? new RouteDecision.Refuse(ResultCode.SERVER_EVACUATED)
+          : new RouteDecision.Wait(ResultCode.NO_FRESH_SERVER);
     }
     BackendServer chosen = choose(candidates, group, state);
     long minOffset = request.sessionPosition().offset();
@@ -103,11 +128,19 @@
   }
 
   private List<BackendServer> findCandidates(
-      RouteRequest request, BackendGroup group, DatabaseState state, long maxAgeMillis, long now) {
+      RouteRequest request,
+      BackendGroup group,
+      DatabaseState state,
+      Evacuations evacuations,
+      long maxAgeMillis,
+      long now) {
     List<BackendServer> candidates = new ArrayList<>();
+    boolean noOtherServer = evacuations.coverAllServers(group);
     for (BackendServer server : group.servers().values()) {
       boolean eligible =
           !server.announcement().leaving()
+              && evacuations.permits(
+                  server, noOtherServer && server.name().equals(state.primary()), now)
               && !request.triedServers().contains(server.name())
               && server.position().term() == state.completedTerm()
               && isFreshEnough(server, request.sessionPosition(), maxAgeMillis, now);
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/Router.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/Router.java
@@ -13,8 +13,14 @@
    * @param group the known servers of the database
    * @param state the terms and the primary of the database in the VM's view
    * @param lease the VM's lease on its view
+   * @param evacuations the evacuated failure domains
    * @param now the current time on the VM's monotonic clock, in milliseconds
    */
   RouteDecision route(
-      RouteRequest request, BackendGroup group, DatabaseState state, LeaseStatus lease, long now);
+      RouteRequest request,
+      BackendGroup group,
+      DatabaseState state,
+      LeaseStatus lease,
+      Evacuations evacuations,
+      long now);
 }
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
@@ -87,6 +87,7 @@
    * @param state the terms and the primary of the database in the VM's view
    * @param lease the VM's lease on its view
    * @param history the positions that the primary reported
+   * @param evacuations the evacuated failure domains
    * @param now the current time on the VM's monotonic clock, in milliseconds
    */
   public SessionTarget route(
@@ -95,21 +96,29 @@
       DatabaseState state,
       LeaseStatus lease,
       PositionHistory history,
+      Evacuations evacuations,
       long now) {
     if (demand.write()) {
       return mayWrite(lease, now)
-          ? routeToPrimary(group, state, demand, requiresLeaseToWrite(), now)
+          ? routeToPrimary(group, state, demand, requiresLeaseToWrite(), evacuations, now)
           : new SessionTarget.Wait(ResultCode.NO_LEASE);
     }
+    Optional<PositionSample> sample = findSample(demand.freshness(), history, now);
     Optional<SessionTarget> target =
-        findSample(demand.freshness(), history, now)
-            .flatMap(sample -> routeToAnyServer(demand, group, state, lease, history, sample, now));
+        sample.flatMap(
+            known ->
+                routeToAnyServer(demand, group, state, lease, history, known, evacuations, now));
     if (target.isPresent()) {
       return target.get();
     }
-    return coversTransit(lease, now)
-        ? routeToPrimary(group, state, demand, true, now)
-        : new SessionTarget.Wait(ResultCode.NO_LEASE);
+    if (!coversTransit(lease, now)) {
+      return new SessionTarget.Wait(ResultCode.NO_LEASE);
+    }
+    SessionTarget primary = routeToPrimary(group, state, demand, true, evacuations, now);
+    boolean otherMayServeLater = sample.isPresent() && !evacuations.coverAllServers(group);
+    return primary instanceof SessionTarget.Refuse && otherMayServeLater
+        ? new SessionTarget.Wait(ResultCode.NO_PRIMARY)
+        : primary;
   }
 
   /**
@@ -121,6 +130,7 @@
    * @param state the terms and the primary of the database in the VM's view
    * @param lease the VM's lease on its view
    * @param history the positions that the primary reported
+   * @param evacuations the evacuated failure domains
    * @param now the current time on the VM's monotonic clock, in milliseconds
    * @return how the statement may be sent to the server now, or empty if it may not
    */
@@ -130,9 +140,11 @@
       DatabaseState state,
       LeaseStatus lease,
       PositionHistory history,
+      Evacuations evacuations,
       long now) {
     boolean isPrimary = server.name().equals(state.primary());
-    if (server.leavingForMillis(now) >= LEAVING_PRIMARY_GRACE_MILLIS) {
+    if (server.leavingForMillis(now) >= LEAVING_PRIMARY_GRACE_MILLIS
+        || !evacuations.permits(server, isPrimary, now)) {
       return Optional.empty();
     }
     if (demand.write()) {
@@ -189,9 +201,13 @@
       DatabaseState state,
       SessionDemand demand,
       boolean leaseRequired,
+      Evacuations evacuations,
       long now) {
     String primary = state.primary();
     Optional<BackendServer> server = primary == null ? Optional.empty() : group.server(primary);
+    if (server.isPresent() && !evacuations.permits(server.get(), true, now)) {
+      return new SessionTarget.Refuse(ResultCode.SERVER_EVACUATED);
+    }
     boolean usable =
         server.isPresent()
             && !demand.triedServers().contains(server.get().name())
@@ -213,11 +229,13 @@
       LeaseStatus lease,
       PositionHistory history,
       PositionSample sample,
+      Evacuations evacuations,
       long now) {
     List<BackendServer> candidates = new ArrayList<>();
     for (BackendServer server : group.servers().values()) {
       boolean eligible =
           !server.announcement().leaving()
+              && evacuations.permits(server, false, now)
               && !demand.triedServers().contains(server.name())
               && now >= backoff.endMillis(server.name())
               && !replicaLag.isBehind(server.name(), requiredPosition(demand, sample), now)
@@ -228,7 +246,7 @@
     }
     return candidates.stream()
         .min(preference(demand.customer(), state, now))
-        .flatMap(server -> confirm(server, demand, state, lease, history, now));
+        .flatMap(server -> confirm(server, demand, state, lease, history, evacuations, now));
   }
 
   /**
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionTarget.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionTarget.java
@@ -30,6 +30,13 @@
       long completeUntilMillis)
       implements SessionTarget {}
 
+  /**
+   * No server may run the statement, and waiting is of no use.
+   *
+   * @param code the result code
+   */
+  record Refuse(ResultCode code) implements SessionTarget {}
+
   /**
    * No server is suitable now, but one may become suitable later.
    *
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/DefaultRouterTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/DefaultRouterTests.java
@@ -146,7 +146,7 @@
 
   private RouteDecision route(WorkClass workClass, LogPosition sessionPosition, LeaseStatus lease) {
     RouteRequest request = new RouteRequest("bonds", workClass, sessionPosition, Set.of());
-    return router.route(request, registry.group("bonds"), state, lease, NOW);
+    return router.route(request, registry.group("bonds"), state, lease, Evacuations.NONE, NOW);
   }
 
   private void announce(
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/FleetPositionsTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/FleetPositionsTests.java
@@ -204,6 +204,7 @@
             state,
             new LeaseStatus(vm.now() + 1_000),
             vm.positions.historyOf(DATABASE),
+            Evacuations.NONE,
             vm.now());
     reads++;
     if (((RunOn) target).leaseRequired()) {
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterTests.java
@@ -89,7 +89,8 @@
     BackendGroup group = registry.group("bonds");
     BackendServer primary = group.server("bonds-1").orElseThrow();
 
-    SessionTarget target = fencing.route(write(), group, state, lease, history, NOW);
+    SessionTarget target =
+        fencing.route(write(), group, state, lease, history, Evacuations.NONE, NOW);
 
     assertThat(
         target,
@@ -98,7 +99,8 @@
                 ? new RunOn(primary, 2, true, null, true, NOW)
                 : new SessionTarget.Wait(ResultCode.NO_LEASE)));
     assertThat(
-        fencing.confirm(primary, write(), state, lease, history, NOW).isPresent(), is(permitted));
+        fencing.confirm(primary, write(), state, lease, history, Evacuations.NONE, NOW).isPresent(),
+        is(permitted));
   }
 
   @Test
@@ -187,6 +189,7 @@
             state,
             VALID_LEASE,
             history,
+            Evacuations.NONE,
             NOW + laterMillis);
 
     assertThat(target.isPresent(), is(confirmed));
@@ -258,7 +261,13 @@
       used.add(
           serverName(
               other.route(
-                  read(BOUNDED_AGE), registry.group("bonds"), state, VALID_LEASE, history, NOW)));
+                  read(BOUNDED_AGE),
+                  registry.group("bonds"),
+                  state,
+                  VALID_LEASE,
+                  history,
+                  Evacuations.NONE,
+                  NOW)));
     }
 
     assertThat(used, is(Set.of("bonds-2", "bonds-4")));
@@ -305,7 +314,14 @@
     assertThat(route(write(), VALID_LEASE), is(instanceOf(RunOn.class)));
 
     SessionTarget later =
-        router.route(write(), registry.group("bonds"), state, VALID_LEASE, history, NOW + 4_000);
+        router.route(
+            write(),
+            registry.group("bonds"),
+            state,
+            VALID_LEASE,
+            history,
+            Evacuations.NONE,
+            NOW + 4_000);
     assertThat(later, is(not(instanceOf(RunOn.class))));
   }
 
@@ -317,13 +333,14 @@
     BackendServer chosen = ((RunOn) route(write(), VALID_LEASE)).server();
 
     Optional<RunOn> target =
-        router.confirm(chosen, write(), state, VALID_LEASE, history, NOW + 4_000);
+        router.confirm(chosen, write(), state, VALID_LEASE, history, Evacuations.NONE, NOW + 4_000);
 
     assertThat(target.isPresent(), is(false));
   }
 
   private SessionTarget route(SessionDemand demand, LeaseStatus lease) {
-    return router.route(demand, registry.group("bonds"), state, lease, history, NOW);
+    return router.route(
+        demand, registry.group("bonds"), state, lease, history, Evacuations.NONE, NOW);
   }
 
   private static SessionDemand write() {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ViewClient.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ViewClient.java
@@ -4,6 +4,8 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import org.cowslipdale.core.control.LeaseTimings;
 import org.cowslipdale.core.failover.PrimaryMonitor;
 import org.cowslipdale.core.routing.FleetPositions;
@@ -181,7 +183,8 @@
           .with("leader", leader)
           .write();
     }
-    views.publish(view, leaseEnd, reply.callerVms());
+    logEvacuationChanges(view, leader);
+    views.publish(view, leaseEnd, reply.callerVms(), clock.millis());
     if (!reply.registered() || !isRegistrationCurrent(view)) {
       link.send(leader, new PeerMessage.Registration(self));
       nextRenewalMillis = clock.millis() + RETRY_MILLIS;
@@ -189,6 +192,22 @@
     renewAgain |= changed;
   }
 
+  private void logEvacuationChanges(View next, String leader) {
+    Set<String> before = views.get().view().evacuatedDomains();
+    Set<String> changed = new TreeSet<>(before);
+    changed.addAll(next.evacuatedDomains());
+    changed.removeIf(domain -> before.contains(domain) == next.evacuatedDomains().contains(domain));
+    for (String failureDomain : changed) {
+      DecisionLog.line(LogEvent.EVACUATION_CHANGED)
+          .with("phase", "in-force")
+          .with("failure_domain", failureDomain)
+          .with("evacuated", next.evacuatedDomains().contains(failureDomain))
+          .with("view_version", next.version())
+          .with("leader", leader)
+          .write();
+    }
+  }
+
   private void logLeaseChange() {
     boolean holds = views.get().lease().isValid(clock.millis());
     if (holds != leaseLogged) {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/StatementRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/request/StatementRunner.java
@@ -151,6 +151,7 @@
               backends.registry().group(work.database()),
               current.view().database(work.database()),
               current.lease(),
+              current.evacuations(),
               clock.millis());
     }
 
@@ -186,7 +187,7 @@
     try (Tracing.Hop hop = tracing.startHop("backend", attempts.context.traceparent());
         PooledConnection pooled = attempts.acquire(target)) {
       hop.set("server", target.server().name());
-      if (permittedAgeMillis(target, work) < 0) {
+      if (permittedAgeMillis(target, work) < 0 || isEvacuated(target, work)) {
         pooled.markClean();
         return Optional.empty();
       }
@@ -212,7 +213,7 @@
     PooledConnection pooled = null;
     try {
       pooled = attempts.acquire(target);
-      if (permittedAgeMillis(target, work) < 0) {
+      if (permittedAgeMillis(target, work) < 0 || isEvacuated(target, work)) {
         pooled.markClean();
         pooled.close();
         return Optional.empty();
@@ -294,6 +295,14 @@
         && views.get().view().database(work.database()).term() != target.term();
   }
 
+  /** Returns whether the server was evacuated while the request waited for a connection. */
+  private boolean isEvacuated(RunOn target, WorkRequest work) {
+    CurrentView current = views.get();
+    String server = target.server().name();
+    boolean isPrimary = server.equals(current.view().database(work.database()).primary());
+    return !current.evacuations().permits(target.server(), isPrimary, clock.millis());
+  }
+
   private void recordAnswer(String database, RunOn target, BackendAnswer answer) {
     String server = target.server().name();
     backends.health().succeeded(server);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -251,6 +251,7 @@
         }
         switch (route()) {
           case SessionTarget.Wait wait -> awaitRoute(wait);
+          case SessionTarget.Refuse refuse -> throw new RefusalException(refuse.code());
           case RunOn target -> {
             Optional<T> result = tryServer(target);
             if (result.isPresent()) {
@@ -296,6 +297,12 @@
         checkout.close();
         throw new RefusalException(ResultCode.WAIT_LIMIT_REACHED);
       }
+      if (isEvacuated(target)) {
+        checkout.markClean();
+        checkout.close();
+        lastFailureCode = ResultCode.SERVER_EVACUATED;
+        return Optional.empty();
+      }
       boolean prepared = false;
       try {
         prepareConnection(checkout.session());
@@ -323,6 +330,17 @@
       }
     }
 
+    /**
+     * Returns whether the server was evacuated while the statement waited for a connection. Not
+     * even the commands that set session values may be sent to it then.
+     */
+    private boolean isEvacuated(RunOn target) {
+      CurrentView current = context.views().get();
+      return !current
+          .evacuations()
+          .permits(target.server(), target.asPrimary(), context.clock().millis());
+    }
+
     /** Sends the commands that the statement requires first on its connection. */
     private void prepareConnection(PooledSession session) throws BackendException {
       session.applyValues(request.values(), remainingMillis());
@@ -343,6 +361,7 @@
               current.view().database(database),
               current.lease(),
               context.positions().historyOf(database),
+              current.evacuations(),
               context.clock().millis());
     }
 
@@ -357,6 +376,7 @@
               current.view().database(database),
               current.lease(),
               context.positions().historyOf(database),
+              current.evacuations(),
               context.clock().millis());
     }
 
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/telemetry/LogEvent.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/telemetry/LogEvent.java
@@ -36,6 +36,8 @@
   CONFIGURATION_IN_FORCE("configuration-in-force"),
   /** A configuration change of an operator was accepted or rejected, or its outcome is unknown. */
   CONFIGURATION_PROPOSED("configuration-proposed"),
+  /** An evacuation was ordered, or it began or ended on this VM. */
+  EVACUATION_CHANGED("evacuation-changed"),
   /** The control leader granted no token, because the rate of the customer is exhausted. */
   TOKENS_REFUSED("tokens-refused"),
   /** This VM became the control leader. */
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/version/ViewHolder.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/version/ViewHolder.java
@@ -1,6 +1,8 @@
 package org.cowslipdale.daemon.version;
 
 import java.util.concurrent.atomic.AtomicReference;
+import org.cowslipdale.core.control.LeaseTimings;
+import org.cowslipdale.core.routing.Evacuations;
 import org.cowslipdale.core.routing.LeaseStatus;
 import org.cowslipdale.core.view.View;
 
@@ -15,7 +17,9 @@
    * @param now the current time on the VM's monotonic clock, in milliseconds
    */
   public ViewHolder(long now) {
-    this.current = new AtomicReference<>(new CurrentView(View.EMPTY, new LeaseStatus(now), 1));
+    this.current =
+        new AtomicReference<>(
+            new CurrentView(View.EMPTY, new LeaseStatus(now), 1, Evacuations.NONE));
   }
 
   /** Returns the current view and lease. */
@@ -31,13 +35,26 @@
    * @param leaseEndMillis when the lease ends, in milliseconds of the VM's monotonic clock
    * @param callerVms the number of VMs that share the connections to servers, or 0 if it is not
    *     known
+   * @param now the current time on the VM's monotonic clock, in milliseconds
    */
-  public void publish(View view, long leaseEndMillis, int callerVms) {
+  public void publish(View view, long leaseEndMillis, int callerVms, long now) {
     current.updateAndGet(
-        previous ->
-            new CurrentView(
-                view.version() >= previous.view().version() ? view : previous.view(),
-                new LeaseStatus(Math.max(leaseEndMillis, previous.lease().endMillis())),
-                callerVms > 0 ? callerVms : previous.callerVms()));
+        previous -> {
+          View next = view.version() >= previous.view().version() ? view : previous.view();
+          return new CurrentView(
+              next,
+              new LeaseStatus(Math.max(leaseEndMillis, previous.lease().endMillis())),
+              callerVms > 0 ? callerVms : previous.callerVms(),
+              previous
+                  .evacuations()
+                  .update(next.evacuatedDomains(), confirmedMillis(previous), now));
+        });
+  }
+
+  /** Returns when the request for the latest lease was sent: its leader had no newer view then. */
+  private static long confirmedMillis(CurrentView previous) {
+    return previous.view().version() == View.EMPTY.version()
+        ? Long.MIN_VALUE
+        : previous.lease().endMillis() - LeaseTimings.LEASE_MILLIS;
   }
 }
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/AnnouncementRelayTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/AnnouncementRelayTests.java
@@ -39,14 +39,14 @@
     relay.sendPending();
     assertThat(sent, empty());
 
-    views.publish(view("vm1", "vm2", "vm3"), 0, 0);
+    views.publish(view("vm1", "vm2", "vm3"), 0, 0, 0);
     relay.sendPending();
     assertThat(sent, containsInAnyOrder("vm2 bonds-1", "vm3 bonds-1"));
   }
 
   @Test
   void sendsAllKnownServersToNewVm() {
-    views.publish(view("vm1", "vm2"), 0, 0);
+    views.publish(view("vm1", "vm2"), 0, 0, 0);
     relay.addAnnouncement(announcement("bonds-1", 1));
     relay.addAnnouncement(announcement("bonds-2", 1));
     relay.sendPending();
@@ -66,7 +66,7 @@
   @CsvSource({"12000, 3", "3000, 8"})
   void relaysUnchangedAnnouncementsToCallerVmsLessOften(long expiryMillis, int expectedRelays) {
     AnnouncementRelay relay = relay(expiryMillis);
-    views.publish(view("vm1", "vm2", "control-1"), 0, 0);
+    views.publish(view("vm1", "vm2", "control-1"), 0, 0, 0);
     for (int i = 1; i <= 8; i++) {
       relay.addAnnouncement(announcement("bonds-1", i));
       relay.sendPending();
@@ -79,7 +79,7 @@
 
   @Test
   void relaysChangesToAllVmsAtOnce() {
-    views.publish(view("vm1", "vm2", "control-1"), 0, 0);
+    views.publish(view("vm1", "vm2", "control-1"), 0, 0, 0);
     relay.addAnnouncement(announcement("bonds-1", 1));
     relay.sendPending();
     sent.clear();
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/request/StatementRunnerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/request/StatementRunnerTests.java
@@ -80,7 +80,7 @@
    */
   @Test
   void recomputesPermittedAgeAfterOpeningConnection() {
-    views.publish(view(), clock.millis() - 100, 1);
+    views.publish(view(), clock.millis() - 100, 1, clock.millis());
     registry.addAnnouncement(replica(), 0, clock.millis());
     connector.connectMillis = 600;
 
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/request/TransactionRunnerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/request/TransactionRunnerTests.java
@@ -69,7 +69,7 @@
 
   @BeforeEach
   void createRunner() {
-    views.publish(view(), clock.millis() + LEASE_MILLIS, 1);
+    views.publish(view(), clock.millis() + LEASE_MILLIS, 1, clock.millis());
     registry.addAnnouncement(primary(), 0, clock.millis());
     Backends backends =
         new Backends(
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionFixture.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionFixture.java
@@ -97,7 +97,7 @@
   /** Returns a holder of the view with a lease. */
   ViewHolder viewsWithLease(long leaseMillis) {
     ViewHolder views = new ViewHolder(clock.millis());
-    views.publish(view(), clock.millis() + leaseMillis, 1);
+    views.publish(view(), clock.millis() + leaseMillis, 1, clock.millis());
     return views;
   }
 
