Failover: replace primaries in evacuated failure domains

Cause: a primary in an evacuated failure domain remains primary.

Change: it is replaced if a server elsewhere is not leaving. Candidates elsewhere come first, by position and then by the region of the old primary. Where the servers are promoted directly, an evacuated server is chosen only if the others may lack a write that a majority stored. After such a choice the next attempt follows after 2,000 ms. Without an evacuation nothing changes.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/FailoverCoordinator.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/FailoverCoordinator.java
@@ -102,6 +102,7 @@
                   registry.group(name),
                   isSuspect(view, name, leaseHolders),
                   isTermInForce(view, name, inForce),
+                  view.evacuatedDomains(),
                   now)));
     }
     return actions;
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import org.cowslipdale.core.backend.BackendGroup;
 import org.cowslipdale.core.backend.BackendServer;
 import org.cowslipdale.core.backend.ServerRole;
@@ -80,6 +81,12 @@
    */
   private static final long ANNOUNCEMENT_WAIT_MILLIS = 3_500;
 
+  /**
+   * How long a primary in an evacuated failure domain that was promoted for want of another server
+   * remains primary before the next attempt to replace it. Each attempt interrupts writes.
+   */
+  private static final long EVACUATION_RETRY_MILLIS = 2_000;
+
   private final String database;
   private final PromotionMode promotionMode;
   private final Map<String, Long> lastSentMillis = new HashMap<>();
@@ -89,6 +96,8 @@
   private long stepStartMillis;
   private long begunTerm;
   private @Nullable String previousPrimary;
+  private @Nullable String previousRegion;
+  private long evacuationRetryMillis = Long.MIN_VALUE;
   private boolean previousPrimaryReachable;
   private @Nullable String promotionTarget;
   private boolean promotionAccepted;
@@ -115,6 +124,7 @@
    * @param group the known servers of the database
    * @param suspect whether the reports of the VMs indicate that the primary is unreachable
    * @param termInForce whether the current term is in force on every VM
+   * @param evacuatedDomains the evacuated failure domains
    * @param now the current time on the leader's monotonic clock, in milliseconds
    */
   record Situation(
@@ -123,6 +133,7 @@
       BackendGroup group,
       boolean suspect,
       boolean termInForce,
+      Set<String> evacuatedDomains,
       long now) {}
 
   GroupFailover(String database, PromotionMode promotionMode) {
@@ -186,6 +197,8 @@
     }
     if (needsPrimaryChange(situation)) {
       previousPrimary = state.primary();
+      previousRegion =
+          primaryServer(situation).map(server -> server.announcement().region()).orElse(null);
       previousPrimaryReachable = !situation.suspect();
       begunTerm = state.term() + 1;
       enterStep(Step.BEGINNING_TERM, situation.now());
@@ -209,6 +222,10 @@
     boolean demoted =
         settled && server.isPresent() && server.get().announcement().role() != ServerRole.PRIMARY;
     boolean leaving = server.isPresent() && server.get().announcement().leaving();
+    boolean evacuated =
+        server.isPresent()
+            && preference(situation).isEvacuated(server.get())
+            && situation.now() >= evacuationRetryMillis;
     boolean missing =
         promotionMode instanceof PromotionMode.ByService
             && server.isEmpty()
@@ -216,7 +233,7 @@
     return situation.suspect()
         || demoted
         || missing
-        || (leaving && hasSuccessor(situation, primary));
+        || ((leaving || evacuated) && hasSuccessor(situation, primary));
   }
 
   /**
@@ -246,11 +263,22 @@
     };
   }
 
-  private static boolean hasSuccessor(Situation situation, String primary) {
+  private boolean hasSuccessor(Situation situation, String primary) {
+    PromotionPreference preference = preference(situation);
     return situation.group().servers().values().stream()
+        .filter(server -> !preference.isEvacuated(server))
         .anyMatch(server -> !server.name().equals(primary) && !server.announcement().leaving());
   }
 
+  private PromotionPreference preference(Situation situation) {
+    return new PromotionPreference(situation.evacuatedDomains(), previousRegion);
+  }
+
+  private static Optional<BackendServer> primaryServer(Situation situation) {
+    String primary = situation.state().primary();
+    return primary == null ? Optional.empty() : situation.group().server(primary);
+  }
+
   private void tickBeginningTerm(Situation situation) {
     if (situation.state().term() == begunTerm && situation.state().primary() == null) {
       enterStep(Step.FENCING, situation.now());
@@ -365,7 +393,7 @@
     LogPosition highest = positions.values().stream().max(Comparator.naturalOrder()).orElseThrow();
     Optional<BackendServer> best =
         candidates(situation).stream()
-            .filter(server -> isPreferred(server))
+            .filter(server -> isPreferred(server, situation))
             .filter(server -> highest.equals(positions.get(server.name())))
             .findFirst();
     boolean waitElapsed = situation.now() - stepStartMillis >= CATCH_UP_LIMIT_MILLIS;
@@ -398,19 +426,27 @@
 
   /**
    * Returns the candidate with the highest position. With the external service, a server that is
-   * not preferred is returned only if there is no other.
+   * not preferred is returned only if there is no other, and one of an evacuated failure domain
+   * last. Otherwise a server of an evacuated failure domain is left out unless the others may lack
+   * an acknowledged write.
    */
   private Optional<BackendServer> mostAdvancedCandidate(Situation situation) {
     List<BackendServer> candidates = candidates(situation);
     Comparator<BackendServer> byPosition =
         Comparator.comparing(server -> requireNonNull(positions.get(server.name())));
     return switch (promotionMode) {
-      case PromotionMode.ByServer byServer -> candidates.stream().max(byPosition);
+      case PromotionMode.ByServer byServer -> {
+        int required = situation.declared().servers() - situation.declared().majority() + 1;
+        yield preference(situation).withoutEvacuated(candidates, required).stream().max(byPosition);
+      }
       case PromotionMode.ByService byService ->
           candidates.stream()
-              .filter(this::isPreferred)
+              .filter(server -> isPreferred(server, situation))
               .max(byPosition)
-              .or(() -> candidates.stream().max(byPosition));
+              .or(
+                  () ->
+                      preference(situation).withoutEvacuated(candidates, 1).stream()
+                          .max(byPosition));
     };
   }
 
@@ -432,28 +468,31 @@
               ? CATCH_UP_QUERY_INTERVAL_MILLIS
               : CATCH_UP_LIMIT_MILLIS;
       boolean due = markSentIfDue(server.name(), situation.now(), interval);
-      if (isPreferred(server) && due) {
+      if (isPreferred(server, situation) && due) {
         queries.add(query(server, highest.offset(), CATCH_UP_LIMIT_MILLIS));
       }
     }
     return queries;
   }
 
-  /** Returns whether the server is neither the previous primary nor leaving. */
-  private boolean isPreferred(BackendServer server) {
-    return !server.name().equals(previousPrimary) && !server.announcement().leaving();
+  /** Returns whether the server is neither the previous primary nor leaving nor evacuated. */
+  private boolean isPreferred(BackendServer server, Situation situation) {
+    return !server.name().equals(previousPrimary)
+        && !server.announcement().leaving()
+        && !preference(situation).isEvacuated(server);
   }
 
   /**
    * Returns the servers with a known position that the service has not rejected recently, sorted by
-   * name.
+   * the preference among equal positions and then by name.
    */
   private List<BackendServer> candidates(Situation situation) {
     List<BackendServer> candidates = new ArrayList<>(situation.group().servers().values());
     candidates.removeIf(
         server ->
             !positions.containsKey(server.name()) || isRejected(server.name(), situation.now()));
-    candidates.sort(Comparator.comparing(BackendServer::name));
+    candidates.sort(
+        preference(situation).tieBreak().thenComparing(Comparator.comparing(BackendServer::name)));
     return candidates;
   }
 
@@ -510,6 +549,10 @@
     if (done) {
       lastCompletionMillis = situation.now();
       lastCompletedTerm = begunTerm;
+      boolean evacuated =
+          primaryServer(situation).filter(preference(situation)::isEvacuated).isPresent();
+      evacuationRetryMillis =
+          evacuated ? situation.now() + EVACUATION_RETRY_MILLIS : Long.MIN_VALUE;
       lastSentMillis.clear();
       enterStep(Step.IDLE, situation.now());
     } else if (!abandonIfTermSuperseded(situation) && isStepOverdue(situation.now())) {
