--- a/cowslipdale-cli/src/main/java/org/cowslipdale/cli/CliMain.java
+++ b/cowslipdale-cli/src/main/java/org/cowslipdale/cli/CliMain.java
@@ -28,6 +28,7 @@
           cowslipdale apply fleet.ini
           cowslipdale key-add acme
           cowslipdale --wait 20 key-withdraw 3f2a90b1c7de
+          cowslipdale evacuate praha-a
           cowslipdale --json history
           cowslipdale explain 5fba634f65172a26 vm1.log vm2.log vm3.log
 
@@ -53,6 +54,7 @@
     Options.KeyAdd keyAdd = new Options.KeyAdd();
     Options.KeyWithdraw keyWithdraw = new Options.KeyWithdraw();
     Options.VmRemove vmRemove = new Options.VmRemove();
+    Options.Evacuate evacuate = new Options.Evacuate();
     Options.Watch watch = new Options.Watch();
     Options.Explain explain = new Options.Explain();
     JCommander commander =
@@ -67,6 +69,7 @@
             .addCommand("key-withdraw", keyWithdraw)
             .addCommand("key-list", new Options.KeyList())
             .addCommand("vm-remove", vmRemove)
+            .addCommand("evacuate", evacuate)
             .addCommand("drain", new Options.Drain())
             .addCommand("undrain", new Options.Undrain())
             .addCommand("watch", watch)
@@ -106,6 +109,7 @@
         case "key-withdraw" -> commands.keyWithdraw(keyWithdraw);
         case "key-list" -> commands.keyList();
         case "vm-remove" -> commands.vmRemove(vmRemove);
+        case "evacuate" -> commands.evacuate(evacuate);
         case "drain" -> commands.drain(true);
         case "undrain" -> commands.drain(false);
         default -> commands.watch(watch);
--- a/cowslipdale-cli/src/main/java/org/cowslipdale/cli/Commands.java
+++ b/cowslipdale-cli/src/main/java/org/cowslipdale/cli/Commands.java
@@ -19,6 +19,7 @@
 import org.cowslipdale.config.protocol.AdminMessages.ConfigurationUpdate;
 import org.cowslipdale.config.protocol.AdminMessages.DatabaseStatus;
 import org.cowslipdale.config.protocol.AdminMessages.DrainBody;
+import org.cowslipdale.config.protocol.AdminMessages.EvacuationOrder;
 import org.cowslipdale.config.protocol.AdminMessages.HistoryBody;
 import org.cowslipdale.config.protocol.AdminMessages.InForceBody;
 import org.cowslipdale.config.protocol.AdminMessages.KeyAddition;
@@ -120,6 +121,14 @@
     sendChange("POST", "/v1/admin/vms/remove", new Removal(requestId(), command.vm), "view");
   }
 
+  void evacuate(Options.Evacuate command) throws CliException {
+    sendChange(
+        "POST",
+        command.end ? "/v1/admin/evacuations/finish" : "/v1/admin/evacuations/start",
+        new EvacuationOrder(command.failureDomain),
+        "view");
+  }
+
   void drain(boolean drained) throws CliException {
     DrainBody result =
         client.send("POST", "/v1/admin/drain", new DrainBody(drained), DrainBody.class);
@@ -291,12 +300,18 @@
             server.ageMillis() + " ms");
       }
     }
-    return "answered by %s, view version %d, lease valid for %d ms, control leader %s%n%n%s%n%s"
+    String evacuated =
+        status.evacuatedDomains().isEmpty()
+            ? ""
+            : "evacuated failure domains: %s%n"
+                .formatted(String.join(", ", status.evacuatedDomains()));
+    return "answered by %s, view version %d, lease valid for %d ms, control leader %s%n%s%n%s%n%s"
         .formatted(
             status.vm(),
             status.version(),
             status.leaseMillis(),
             status.leader() == null ? "unknown" : status.leader(),
+            evacuated,
             vms,
             servers);
   }
--- a/cowslipdale-cli/src/main/java/org/cowslipdale/cli/Options.java
+++ b/cowslipdale-cli/src/main/java/org/cowslipdale/cli/Options.java
@@ -116,6 +116,20 @@
     String vm = "";
   }
 
+  /** Begins or ends the evacuation of a failure domain. */
+  @Parameters(
+      commandDescription =
+          "Send nothing more to the servers of a failure domain: evacuate zone-a; withdraw the"
+              + " order with evacuate --end zone-a")
+  static final class Evacuate {
+
+    @Parameter(description = "DOMAIN", required = true)
+    String failureDomain = "";
+
+    @Parameter(names = "--end", description = "End the evacuation")
+    boolean end;
+  }
+
   /** Drains a VM. */
   @Parameters(
       commandDescription =
--- a/cowslipdale-config/src/main/java/org/cowslipdale/config/protocol/AdminMessages.java
+++ b/cowslipdale-config/src/main/java/org/cowslipdale/config/protocol/AdminMessages.java
@@ -100,6 +100,19 @@
    */
   public record DrainBody(boolean drained) {}
 
+  /**
+   * Begins or ends the evacuation of a failure domain.
+   *
+   * @param failureDomain the name of the failure domain
+   */
+  public record EvacuationOrder(String failureDomain) {
+
+    /** Rejects a null component. */
+    public EvacuationOrder {
+      requireNonNull(failureDomain, "failureDomain");
+    }
+  }
+
   /**
    * The results of recent changes.
    *
@@ -126,6 +139,7 @@
    * @param leaseMillis the remaining time of this VM's lease, in milliseconds
    * @param vms the VMs of the fleet
    * @param databases the database groups
+   * @param evacuatedDomains the evacuated failure domains, sorted by name
    */
   public record StatusBody(
       String vm,
@@ -134,7 +148,13 @@
       long configurationVersion,
       long leaseMillis,
       List<VmStatus> vms,
-      List<DatabaseStatus> databases) {
+      List<DatabaseStatus> databases,
+      List<String> evacuatedDomains) {
+
+    /** A VM of an earlier version sends no evacuated failure domains. */
+    public StatusBody {
+      evacuatedDomains = evacuatedDomains == null ? List.of() : List.copyOf(evacuatedDomains);
+    }
 
     /**
      * Creates a status from the state of a VM.
@@ -170,7 +190,14 @@
         databases.add(DatabaseStatus.of(database, view.database(database), registry, now));
       }
       return new StatusBody(
-          vm, leader, view.version(), view.configurationVersion(), leaseMillis, vms, databases);
+          vm,
+          leader,
+          view.version(),
+          view.configurationVersion(),
+          leaseMillis,
+          vms,
+          databases,
+          view.evacuatedDomains().stream().sorted().toList());
     }
   }
 
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/adapter/Operations.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/adapter/Operations.java
@@ -37,6 +37,25 @@
   CompletableFuture<ResultCode> replaceConfiguration(
       DeclaredDocument document, Configuration configuration, List<ApiKey> keys);
 
+  /**
+   * Evacuates a failure domain: nothing more is sent to its servers, and its primaries are
+   * replaced. A repeated order is acknowledged again.
+   *
+   * @param failureDomain the name of the failure domain
+   * @return a future that completes with {@link ResultCode#OK} once the order cannot be lost any
+   *     more, with {@link ResultCode#NO_SUCH_OBJECT} if the failure domain is not known, or with
+   *     the reason why the order was refused or why its outcome is unknown
+   */
+  CompletableFuture<ResultCode> beginEvacuation(String failureDomain);
+
+  /**
+   * Ends the evacuation of a failure domain; its servers get work again at once.
+   *
+   * @param failureDomain the name of the failure domain
+   * @return as for {@link #beginEvacuation}
+   */
+  CompletableFuture<ResultCode> endEvacuation(String failureDomain);
+
   /**
    * Returns the newest configuration document.
    *
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlPlane.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlPlane.java
@@ -20,6 +20,7 @@
 import org.cowslipdale.core.claim.ClaimReply;
 import org.cowslipdale.core.claim.ClaimTable;
 import org.cowslipdale.core.claim.RequestId;
+import org.cowslipdale.core.failover.KnownFailureDomains;
 import org.cowslipdale.core.failover.PrimaryProbeMonitor;
 import org.cowslipdale.core.failover.PromotionMode;
 import org.cowslipdale.core.result.CowslipException;
@@ -54,6 +55,7 @@
 import org.cowslipdale.daemon.telemetry.DecisionLog;
 import org.cowslipdale.daemon.telemetry.LogEvent;
 import org.cowslipdale.daemon.telemetry.Tracing;
+import org.cowslipdale.daemon.version.CurrentView;
 import org.cowslipdale.daemon.version.ViewHolder;
 import org.cowslipdale.daemon.version.VmClock;
 import org.jspecify.annotations.Nullable;
@@ -77,6 +79,7 @@
 
   private final DaemonSettings settings;
   private final PeerNetwork network;
+  private final ViewHolder views;
   private final BackendRegistry registry;
   private final VmClock clock;
   private final ControlThread control = new ControlThread();
@@ -120,6 +123,7 @@
       Runnable onStorageFailure) {
     this.settings = requireNonNull(settings, "settings");
     this.network = requireNonNull(network, "network");
+    this.views = requireNonNull(views, "views");
     this.registry = requireNonNull(registry, "registry");
     this.clock = requireNonNull(clock, "clock");
     String vm = settings.vm().name();
@@ -250,12 +254,61 @@
                     .with(
                         "result", reply.result() == null ? reply.failure() : reply.result().code())
                     .write())
-        .thenApply(
-            reply ->
-                reply.result() != null
-                    ? reply.result().code()
-                    : Optional.ofNullable(reply.failure())
-                        .orElse(ResultCode.CHANGE_OUTCOME_UNKNOWN));
+        .thenApply(ControlPlane::resultCode);
+  }
+
+  private static ResultCode resultCode(ChangeReply reply) {
+    return reply.result() != null
+        ? reply.result().code()
+        : Optional.ofNullable(reply.failure()).orElse(ResultCode.CHANGE_OUTCOME_UNKNOWN);
+  }
+
+  @Override
+  public CompletableFuture<ResultCode> beginEvacuation(String failureDomain) {
+    return proposeEvacuation(failureDomain, true).thenApply(ControlPlane::resultCode);
+  }
+
+  @Override
+  public CompletableFuture<ResultCode> endEvacuation(String failureDomain) {
+    return proposeEvacuation(failureDomain, false).thenApply(ControlPlane::resultCode);
+  }
+
+  /**
+   * Proposes the beginning or the end of an evacuation, if the failure domain is known. A VM
+   * without a lease may not know all VMs and servers, so it answers that it cannot reach the
+   * leader.
+   *
+   * @param failureDomain the name of the failure domain
+   * @param begin whether the evacuation begins
+   * @return completes with the result or with the reason why there is none; never exceptionally
+   */
+  public CompletableFuture<ChangeReply> proposeEvacuation(String failureDomain, boolean begin) {
+    CurrentView current = views.get();
+    boolean known =
+        KnownFailureDomains.contains(
+            failureDomain, settings.regions().keySet(), current.view(), registry);
+    CompletableFuture<ChangeReply> reply;
+    if (known) {
+      reply =
+          propose(
+              begin
+                  ? new ViewCommand.BeginEvacuation(failureDomain)
+                  : new ViewCommand.EndEvacuation(failureDomain));
+    } else {
+      boolean leased = current.lease().isValid(clock.millis());
+      reply =
+          CompletableFuture.completedFuture(
+              new ChangeReply(null, leased ? ResultCode.NO_SUCH_OBJECT : ResultCode.NO_LEADER));
+    }
+    return reply.whenComplete(
+        (change, failure) ->
+            DecisionLog.line(LogEvent.EVACUATION_CHANGED)
+                .with("phase", "ordered")
+                .with("failure_domain", failureDomain)
+                .with("evacuated", begin)
+                .with("result", resultCode(change))
+                .with("view_version", change.result() == null ? null : change.result().version())
+                .write());
   }
 
   @Override
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/AdminServer.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/AdminServer.java
@@ -22,6 +22,7 @@
 import org.cowslipdale.config.protocol.AdminMessages.ConfigurationBody;
 import org.cowslipdale.config.protocol.AdminMessages.ConfigurationUpdate;
 import org.cowslipdale.config.protocol.AdminMessages.DrainBody;
+import org.cowslipdale.config.protocol.AdminMessages.EvacuationOrder;
 import org.cowslipdale.config.protocol.AdminMessages.HistoryBody;
 import org.cowslipdale.config.protocol.AdminMessages.InForceBody;
 import org.cowslipdale.config.protocol.AdminMessages.KeyAddition;
@@ -42,6 +43,7 @@
 import org.cowslipdale.core.view.ViewCommand;
 import org.cowslipdale.daemon.adapter.RequestBody;
 import org.cowslipdale.daemon.control.ControlPlane;
+import org.cowslipdale.daemon.peer.PeerMessage.ChangeReply;
 import org.cowslipdale.daemon.peer.PeerMessage.FleetQuery;
 import org.cowslipdale.daemon.peer.PeerMessage.FleetReply;
 import org.cowslipdale.daemon.version.CurrentView;
@@ -166,6 +168,10 @@
             request,
             new ViewCommand.RemoveVm(removal.requestId(), clock.wallMillis(), removal.name()));
       }
+      case "POST /v1/admin/evacuations/start" ->
+          orderEvacuation(request, parseBody(body, EvacuationOrder.class), true);
+      case "POST /v1/admin/evacuations/finish" ->
+          orderEvacuation(request, parseBody(body, EvacuationOrder.class), false);
       case "POST /v1/admin/drain" -> {
         DrainBody drain = parseBody(body, DrainBody.class);
         readiness.setDrained(drain.drained());
@@ -238,10 +244,19 @@
     proposeChange(request, new ViewCommand.AddKey(addition.requestId(), clock.wallMillis(), key));
   }
 
+  private void orderEvacuation(HttpServerRequest request, EvacuationOrder order, boolean begin) {
+    sendChangeReply(request, control.proposeEvacuation(order.failureDomain(), begin));
+  }
+
   private void proposeChange(HttpServerRequest request, ViewCommand command) {
+    sendChangeReply(request, control.propose(command));
+  }
+
+  private void sendChangeReply(
+      HttpServerRequest request, CompletableFuture<ChangeReply> changeReply) {
     respondWhenComplete(
         request,
-        control.propose(command),
+        changeReply,
         reply -> {
           if (reply.result() == null) {
             ResultCode failure =
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/Daemon.java
@@ -267,6 +267,12 @@
             holder -> (double) (holder.get().lease().endMillis() - clock.millis()))
         .description("For how long the lease is still valid; negative after its end")
         .register(meters);
+    Gauge.builder(
+            "cowslipdale.evacuated.domains",
+            views,
+            holder -> (double) holder.get().view().evacuatedDomains().size())
+        .description("Failure domains that are evacuated in the view of this VM")
+        .register(meters);
     FunctionCounter.builder(
             "cowslipdale.log.dropped.lines", meters, ignored -> CountingAppender.droppedLines())
         .description("Log lines that were dropped because the output could not keep up")
