--- a/cowslipdale-cli/src/test/java/org/cowslipdale/cli/ExplanationTests.java
+++ b/cowslipdale-cli/src/test/java/org/cowslipdale/cli/ExplanationTests.java
@@ -68,6 +68,18 @@
             "vm2.log promotion-phase"));
   }
 
+  /** A refusal during an evacuation is explained only if the evacuation is shown. */
+  @Test
+  void showsEvacuations() throws CliException, IOException {
+    Path log = folder.resolve("vm3.log");
+    Files.writeString(
+        log, line(10_000, "evacuation-changed", "failure_domain", "zone-a", "evacuated", "true"));
+
+    Explanation found = Explanation.read("r1", List.of(entry, log), AROUND);
+
+    assertThat(found.timeline().getFirst().event(), is("evacuation-changed"));
+  }
+
   @Test
   void rejectsRequestMissingFromAllFiles() {
     CliException e =
