Keep statements in the home regions of their route and customer

Cause: a route or customer may name the regions in which its data may be handled (allowedRegions of the platform's documents); nothing read the field, so any server was used.

HomeRegions combines both restrictions. SessionRouter checks them for each candidate, the primary and in confirm, which SessionRunner now also calls before it prepares a connection. Between promotion candidates with equal positions, the one in a region that more routes allow is preferred.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
@@ -115,6 +115,7 @@
    * @param group the known servers of the database
    * @param suspect whether the reports of the VMs indicate that the primary is unreachable
    * @param termInForce whether the current term is in force on every VM
+   * @param preference the order of candidates with equal positions, the preferred one first
    * @param now the current time on the leader's monotonic clock, in milliseconds
    */
   record Situation(
@@ -123,6 +124,7 @@
       BackendGroup group,
       boolean suspect,
       boolean termInForce,
+      Comparator<BackendServer> preference,
       long now) {}
 
   GroupFailover(String database, PromotionMode promotionMode) {
@@ -367,7 +369,7 @@
         candidates(situation).stream()
             .filter(server -> isPreferred(server))
             .filter(server -> highest.equals(positions.get(server.name())))
-            .findFirst();
+            .min(situation.preference());
     boolean waitElapsed = situation.now() - stepStartMillis >= CATCH_UP_LIMIT_MILLIS;
     if (best.isEmpty() && !waitElapsed) {
       actions.addAll(queryPreferredServers(situation, highest));
@@ -403,7 +405,8 @@
   private Optional<BackendServer> mostAdvancedCandidate(Situation situation) {
     List<BackendServer> candidates = candidates(situation);
     Comparator<BackendServer> byPosition =
-        Comparator.comparing(server -> requireNonNull(positions.get(server.name())));
+        Comparator.comparing((BackendServer server) -> requireNonNull(positions.get(server.name())))
+            .thenComparing(situation.preference().reversed());
     return switch (promotionMode) {
       case PromotionMode.ByServer byServer -> candidates.stream().max(byPosition);
       case PromotionMode.ByService byService ->
--- /dev/null
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/PromotionPreference.java
@@ -0,0 +1,32 @@
+package org.cowslipdale.core.failover;
+
+import java.util.Comparator;
+import org.cowslipdale.core.backend.BackendServer;
+import org.cowslipdale.core.view.SessionRoute;
+import org.cowslipdale.core.view.View;
+
+/** Orders promotion candidates with equal log positions. */
+final class PromotionPreference {
+
+  private PromotionPreference() {}
+
+  /**
+   * Returns an order in which the preferred candidate comes first: the one whose region more routes
+   * of the database allow, since the others are refused while it is the primary.
+   */
+  static Comparator<BackendServer> of(View view, String database) {
+    return Comparator.comparingLong(
+        server -> -countAllowingRoutes(view, database, server.announcement().region()));
+  }
+
+  private static long countAllowingRoutes(View view, String database, String region) {
+    return view.configuration().sessionRoutes().values().stream()
+        .filter(route -> route.database().equals(database))
+        .filter(route -> allows(route, region))
+        .count();
+  }
+
+  private static boolean allows(SessionRoute route, String region) {
+    return route.homeRegions().isEmpty() || route.homeRegions().contains(region);
+  }
+}
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/result/ResultCode.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/result/ResultCode.java
@@ -75,6 +75,9 @@
   /** The statement did not complete within its time limit. */
   STATEMENT_TIMED_OUT(
       3009, 504, Outcome.UNKNOWN, "The statement was sent and did not end in time."),
+  /** No backend server that could serve the request is in a region that its data may enter. */
+  NO_SERVER_IN_HOME_REGION(
+      3010, 503, Outcome.NOT_RUN, "No suitable backend server is in the home regions."),
   /** The VM that holds the transaction could not be reached. */
   VM_UNREACHABLE(3007, 504, Outcome.UNKNOWN, "The VM that holds the transaction is unreachable."),
 
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionDemand.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionDemand.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.Set;
+import org.cowslipdale.core.placement.HomeRegions;
 import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.view.Freshness;
 
@@ -14,13 +15,15 @@
  * @param freshness how recent the data of its reads must be
  * @param sessionPosition the log position of the session's latest commit
  * @param triedServers the names of the servers that have already rejected it
+ * @param homeRegions the regions in which its data may be handled
  */
 public record SessionDemand(
     String customer,
     boolean write,
     Freshness freshness,
     LogPosition sessionPosition,
-    Set<String> triedServers) {
+    Set<String> triedServers,
+    HomeRegions homeRegions) {
 
   /** Copies the set and checks that no component is null. */
   public SessionDemand {
@@ -28,5 +31,24 @@
     requireNonNull(freshness, "freshness");
     requireNonNull(sessionPosition, "sessionPosition");
     triedServers = Set.copyOf(triedServers);
+    requireNonNull(homeRegions, "homeRegions");
+  }
+
+  /**
+   * Creates the requirements of a statement whose data may be handled everywhere.
+   *
+   * @param customer the name of the customer whose connection is used
+   * @param write whether the statement or transaction may write
+   * @param freshness how recent the data of its reads must be
+   * @param sessionPosition the log position of the session's latest commit
+   * @param triedServers the names of the servers that have already rejected it
+   */
+  public SessionDemand(
+      String customer,
+      boolean write,
+      Freshness freshness,
+      LogPosition sessionPosition,
+      Set<String> triedServers) {
+    this(customer, write, freshness, sessionPosition, triedServers, HomeRegions.EVERYWHERE);
   }
 }
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
@@ -9,6 +9,7 @@
 import org.cowslipdale.core.backend.BackendGroup;
 import org.cowslipdale.core.backend.BackendServer;
 import org.cowslipdale.core.backend.ServerBackoff;
+import org.cowslipdale.core.placement.HomeRegions;
 import org.cowslipdale.core.placement.Placement;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.session.LogPosition;
@@ -96,6 +97,9 @@
       LeaseStatus lease,
       PositionHistory history,
       long now) {
+    if (hasNoServerInHomeRegions(demand, group, state)) {
+      return new SessionTarget.NotBefore(ResultCode.NO_SERVER_IN_HOME_REGION, Long.MAX_VALUE);
+    }
     if (demand.write()) {
       return mayWrite(lease, now)
           ? routeToPrimary(group, state, demand, requiresLeaseToWrite(), now)
@@ -132,7 +136,8 @@
       PositionHistory history,
       long now) {
     boolean isPrimary = server.name().equals(state.primary());
-    if (server.leavingForMillis(now) >= LEAVING_PRIMARY_GRACE_MILLIS) {
+    if (server.leavingForMillis(now) >= LEAVING_PRIMARY_GRACE_MILLIS
+        || !isInHomeRegion(server, demand.homeRegions())) {
       return Optional.empty();
     }
     if (demand.write()) {
@@ -192,6 +197,9 @@
       long now) {
     String primary = state.primary();
     Optional<BackendServer> server = primary == null ? Optional.empty() : group.server(primary);
+    if (server.isPresent() && !isInHomeRegion(server.get(), demand.homeRegions())) {
+      return new SessionTarget.Wait(ResultCode.NO_SERVER_IN_HOME_REGION);
+    }
     boolean usable =
         server.isPresent()
             && !demand.triedServers().contains(server.get().name())
@@ -206,6 +214,34 @@
     return new SessionTarget.RunOn(server.get(), state.term(), true, null, leaseRequired, now);
   }
 
+  /**
+   * Returns whether waiting cannot help because of the home regions: the primary is outside of them
+   * and the statement requires it, or no other known server inside them stays.
+   */
+  private static boolean hasNoServerInHomeRegions(
+      SessionDemand demand, BackendGroup group, DatabaseState state) {
+    HomeRegions homeRegions = demand.homeRegions();
+    if (!homeRegions.restricted()) {
+      return false;
+    }
+    if (homeRegions.regions().isEmpty()) {
+      return true;
+    }
+    Optional<BackendServer> primary = Optional.ofNullable(state.primary()).flatMap(group::server);
+    if (primary.isEmpty() || isInHomeRegion(primary.get(), homeRegions)) {
+      return false;
+    }
+    boolean requiresPrimary = demand.write() || demand.freshness() instanceof Freshness.Latest;
+    return requiresPrimary
+        || group.servers().values().stream()
+            .noneMatch(
+                server -> !server.announcement().leaving() && isInHomeRegion(server, homeRegions));
+  }
+
+  private static boolean isInHomeRegion(BackendServer server, HomeRegions homeRegions) {
+    return homeRegions.allows(server.announcement().region());
+  }
+
   private Optional<SessionTarget> routeToAnyServer(
       SessionDemand demand,
       BackendGroup group,
@@ -218,6 +254,7 @@
     for (BackendServer server : group.servers().values()) {
       boolean eligible =
           !server.announcement().leaving()
+              && isInHomeRegion(server, demand.homeRegions())
               && !demand.triedServers().contains(server.name())
               && now >= backoff.endMillis(server.name())
               && !replicaLag.isBehind(server.name(), requiredPosition(demand, sample), now)
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionTarget.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionTarget.java
@@ -30,6 +30,16 @@
       long completeUntilMillis)
       implements SessionTarget {}
 
+  /**
+   * No server is suitable before a known time. A statement with an earlier deadline is refused at
+   * once, since waiting would only delay the refusal.
+   *
+   * @param code the result code of the refusal
+   * @param untilMillis the time on the VM's monotonic clock, in milliseconds; {@link
+   *     Long#MAX_VALUE} if no wait helps
+   */
+  record NotBefore(ResultCode code, long untilMillis) implements SessionTarget {}
+
   /**
    * No server is suitable now, but one may become suitable later.
    *
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
@@ -26,6 +26,7 @@
 import org.cowslipdale.daemon.control.ControlPlane;
 import org.cowslipdale.daemon.request.Reply;
 import org.cowslipdale.daemon.request.TransactionStep;
+import org.cowslipdale.daemon.session.PlacementCounters;
 import org.cowslipdale.daemon.session.PrimaryChecker;
 import org.cowslipdale.daemon.session.SessionConnector;
 import org.cowslipdale.daemon.session.SessionContext;
@@ -97,6 +98,8 @@
     pools = sessionPools;
     ReplicaLagTracker lagTracker = new ReplicaLagTracker();
     ServerBackoff backoff = new ServerBackoff(new Random());
+    PlacementCounters placementCounters = new PlacementCounters();
+    placementCounters.register(meters);
     SessionContext context =
         new SessionContext(
             views,
@@ -117,6 +120,7 @@
             trafficMonitor,
             control.rateLimiter(),
             clock,
+            placementCounters,
             adapter.features(settings));
     PrimaryChecker checker =
         new PrimaryChecker(views, registry, connector, trafficMonitor, clock, control::renewLease);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionAdmission.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionAdmission.java
@@ -4,6 +4,7 @@
 
 import java.util.Optional;
 import org.cowslipdale.core.control.LeaseTimings;
+import org.cowslipdale.core.placement.HomeRegions;
 import org.cowslipdale.core.result.RefusalException;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.view.Customer;
@@ -25,7 +26,7 @@
 final class SessionAdmission {
 
   /** The customer name for sessions on open routes that sent no valid key. */
-  private static final String ANONYMOUS_CUSTOMER = "-";
+  static final String ANONYMOUS_CUSTOMER = "-";
 
   /**
    * The maximum wait for a token, in milliseconds. It does not depend on the target latency of the
@@ -75,7 +76,10 @@
     if (customer.isEmpty() && !route.open()) {
       throw new RefusalException(ResultCode.UNAUTHENTICATED);
     }
-    return new AdmittedOperation(route, customer.map(Customer::name).orElse(ANONYMOUS_CUSTOMER));
+    return new AdmittedOperation(
+        route,
+        customer.map(Customer::name).orElse(ANONYMOUS_CUSTOMER),
+        HomeRegions.of(route, customer.orElse(null)));
   }
 
   /** Checks that the key still belongs to the customer for whom an operation was admitted. */
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionContext.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionContext.java
@@ -29,6 +29,7 @@
  * @param trafficMonitor the monitor of which primaries answer
  * @param limiter the rate limiter for customers
  * @param clock the VM's clock
+ * @param placementCounters the counters of placement decisions
  * @param features the optional features in use
  */
 public record SessionContext(
@@ -43,6 +44,7 @@
     PrimaryTrafficMonitor trafficMonitor,
     RateLimiter limiter,
     VmClock clock,
+    PlacementCounters placementCounters,
     Set<Feature> features) {
 
   /** Copies the features and checks that no component is null. */
@@ -58,6 +60,7 @@
     requireNonNull(trafficMonitor, "trafficMonitor");
     requireNonNull(limiter, "limiter");
     requireNonNull(clock, "clock");
+    requireNonNull(placementCounters, "placementCounters");
     features = Set.copyOf(features);
   }
 }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -6,8 +6,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.ThreadLocalRandom;
 import org.cowslipdale.core.backend.BackendServer;
+import org.cowslipdale.core.placement.HomeRegions;
 import org.cowslipdale.core.result.Outcome;
 import org.cowslipdale.core.result.RefusalException;
 import org.cowslipdale.core.result.ResultCode;
@@ -251,6 +254,7 @@
         }
         switch (route()) {
           case SessionTarget.Wait wait -> awaitRoute(wait);
+          case SessionTarget.NotBefore notBefore -> awaitOrRefuse(notBefore);
           case RunOn target -> {
             Optional<T> result = tryServer(target);
             if (result.isPresent()) {
@@ -298,9 +302,12 @@
       }
       boolean prepared = false;
       try {
-        prepareConnection(checkout.session());
-        prepared = true;
         Optional<RunOn> confirmed = confirm(target.server());
+        if (confirmed.isPresent()) {
+          prepareConnection(checkout.session());
+          prepared = true;
+          confirmed = confirm(target.server());
+        }
         if (confirmed.isEmpty()) {
           checkout.markClean();
           checkout.close();
@@ -338,7 +345,7 @@
       return context
           .router()
           .route(
-              createDemand(),
+              createDemand(current),
               context.registry().group(database),
               current.view().database(database),
               current.lease(),
@@ -353,20 +360,39 @@
           .router()
           .confirm(
               context.registry().group(database).server(server.name()).orElse(server),
-              createDemand(),
+              createDemand(current),
               current.view().database(database),
               current.lease(),
               context.positions().historyOf(database),
               context.clock().millis());
     }
 
-    private SessionDemand createDemand() {
+    private SessionDemand createDemand(CurrentView current) {
       return new SessionDemand(
           request.operation().customer(),
           request.isWrite(),
           request.operation().route().freshness(),
           request.lastCommittedPosition(),
-          triedServers);
+          triedServers,
+          homeRegions(current));
+    }
+
+    /**
+     * Returns the regions in which the statement's data may be handled. A transaction keeps those
+     * that applied when it began; any other statement obeys a change while it waits.
+     */
+    private HomeRegions homeRegions(CurrentView current) {
+      AdmittedOperation operation = request.operation();
+      if (request.statement() instanceof Statement.Begin) {
+        return operation.homeRegions();
+      }
+      boolean anonymous = operation.customer().equals(SessionAdmission.ANONYMOUS_CUSTOMER);
+      return operation
+          .homeRegions()
+          .current(
+              current.view().configuration(),
+              operation.route().name(),
+              anonymous ? null : operation.customer());
     }
 
     private long remainingMillis() {
@@ -447,6 +473,45 @@
       triedServers.clear();
     }
 
+    /**
+     * Waits until a server may become suitable, or refuses the statement at once if that is after
+     * its deadline.
+     */
+    private void awaitOrRefuse(SessionTarget.NotBefore notBefore) throws RefusalException {
+      long now = context.clock().millis();
+      if (notBefore.untilMillis() >= request.deadlineMillis() - MIN_RUN_MILLIS) {
+        if (notBefore.code() == ResultCode.NO_SERVER_IN_HOME_REGION) {
+          context.placementCounters().countHomeRegionRefusal();
+          logHomeRegionRefusal();
+        }
+        throw new RefusalException(notBefore.code());
+      }
+      sleep(Math.clamp(notBefore.untilMillis() - now, 1, REROUTE_AFTER_MILLIS));
+      triedServers.clear();
+    }
+
+    /** Logs the regions that were compared; refusals are the only lines, one for each statement. */
+    private void logHomeRegionRefusal() {
+      CurrentView current = context.views().get();
+      String database = request.operation().route().database();
+      Map<String, String> serverRegions = new TreeMap<>();
+      context
+          .registry()
+          .group(database)
+          .servers()
+          .forEach((name, server) -> serverRegions.put(name, server.announcement().region()));
+      DecisionLog.line(LogEvent.HOME_REGION_REFUSED)
+          .with("request", request.statement().id())
+          .with("customer", request.operation().customer())
+          .with("database", database)
+          .with("write", request.isWrite())
+          .with("home_regions", new TreeSet<>(homeRegions(current).regions()))
+          .with("primary", current.view().database(database).primary())
+          .with("server_regions", serverRegions)
+          .with("configuration_version", current.view().document().version())
+          .write();
+    }
+
     private void pauseBeforeRetry(ResultCode code) throws RefusalException {
       long jittered = retryDelayMillis / 2 + ThreadLocalRandom.current().nextLong(retryDelayMillis);
       sleep(Math.min(jittered + 1, remainingWaitMillis(code)));
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/FakeServers.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/FakeServers.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.statement.ServerCommand;
 import org.cowslipdale.core.statement.ServerReply;
@@ -27,6 +28,7 @@
   private volatile long statementDelayMillis;
   private volatile boolean breakOnPrepare;
   private volatile boolean failOnConnect;
+  private final AtomicInteger commands = new AtomicInteger();
 
   /** Delays the reply to a statement until the returned latch is released. */
   CountDownLatch holdAnswer(String id) {
@@ -60,6 +62,11 @@
     return List.copyOf(runs);
   }
 
+  /** Returns the number of commands that arrived, including those that prepare a connection. */
+  int commandCount() {
+    return commands.get();
+  }
+
   @Override
   public ServerConnection connect(ServerRef server, String customer, long timeoutMillis)
       throws BackendException {
@@ -90,6 +97,7 @@
 
     @Override
     public ServerReply execute(ServerCommand command, long timeoutMillis) throws BackendException {
+      commands.incrementAndGet();
       if (command instanceof ServerCommand.Prepare && breakOnPrepare) {
         usable = false;
         throw new BackendException(true, new IOException("the connection broke"));
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionFixture.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionFixture.java
@@ -17,6 +17,7 @@
 import org.cowslipdale.core.routing.WriteFencing;
 import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.view.Configuration;
+import org.cowslipdale.core.view.Customer;
 import org.cowslipdale.core.view.Database;
 import org.cowslipdale.core.view.DeclaredDocument;
 import org.cowslipdale.core.view.Freshness;
@@ -116,6 +117,7 @@
         new PrimaryTrafficMonitor(),
         limiter,
         clock,
+        new PlacementCounters(),
         Set.of());
   }
 
@@ -158,6 +160,27 @@
         clock.millis());
   }
 
+  /** Publishes a configuration that restricts the route {@code name} to regions. */
+  void restrictRoute(ViewHolder views, String name, Set<String> regions) {
+    View view = views.get().view();
+    SessionRoute route =
+        new SessionRoute(
+            name, "bonds", new Freshness.Latest(), LIMIT_MILLIS, LIMIT_MILLIS, 1, true, regions);
+    Configuration configuration =
+        new Configuration(
+            Map.of(),
+            Map.of("acme", new Customer("acme", 1, 1, Set.of())),
+            Map.of(),
+            view.configuration().databases(),
+            Map.of(name, route),
+            30_000);
+    DeclaredDocument document = new DeclaredDocument(view.document().version() + 1, "{}");
+    views.publish(
+        view.apply(new ViewCommand.ReplaceConfiguration(document, configuration, List.of())).view(),
+        Long.MIN_VALUE,
+        1);
+  }
+
   private static View view() {
     SessionRoute openRoute =
         new SessionRoute(
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cowslipdale.core.result.Outcome;
@@ -112,6 +113,70 @@
     assertThat(servers.runs(), not(hasItem("bonds-1 read-1")));
   }
 
+  /** Guards against a refusal that keeps the caller waiting although no wait can help. */
+  @Order(20)
+  @Test
+  void refusesWriteWithoutServerInHomeRegionsAtOnce() {
+    fixture.restrictRoute(views, "route", Set.of("elsewhere"));
+    long startMillis = clock.millis();
+
+    RefusalException e =
+        assertThrows(RefusalException.class, () -> runner.run(request("write-1", true, LATEST)));
+
+    assertThat(e.code(), is(ResultCode.NO_SERVER_IN_HOME_REGION));
+    assertThat(clock.millis() - startMillis < LIMIT_MILLIS / 2, is(true));
+    assertThat(returnedTokens.get(), is(1));
+    assertThat(servers.commandCount(), is(0));
+  }
+
+  /**
+   * Guards against text that leaves its home regions when they change while a statement waits for a
+   * connection: neither the statement nor what prepares it may be sent.
+   */
+  @Order(21)
+  @Test
+  void sendsNothingOutsideHomeRegionsThatChangedWhileConnecting() throws Exception {
+    servers.delayConnections(300);
+    threads.add(
+        Thread.startVirtualThread(
+            () -> {
+              SessionFixture.pause(100);
+              fixture.restrictRoute(views, "route", Set.of("elsewhere"));
+            }));
+    Statement.Execute statement = new Statement.Execute("execute-1", "EXECUTE p 1", "p", "1");
+    SessionRunner.StatementRequest template = request(statement, LATEST);
+    SessionRunner.StatementRequest request =
+        new SessionRunner.StatementRequest(
+            template.operation(),
+            statement,
+            new PreparedStatement(true, "WRITE a"),
+            Map.of("value", "1"),
+            LogPosition.ZERO,
+            template.deadlineMillis());
+
+    RefusalException e = assertThrows(RefusalException.class, () -> runner.run(request));
+
+    assertThat(e.code(), is(ResultCode.NO_SERVER_IN_HOME_REGION));
+    assertThat(servers.commandCount(), is(0));
+  }
+
+  /** Guards against a transaction that is cut because the home regions of its route change. */
+  @Order(22)
+  @Test
+  void transactionKeepsHomeRegionsOfItsBeginning() throws Exception {
+    SessionRunner.StatementRequest begin =
+        request(new Statement.Begin("begin-1", "BEGIN", false), LATEST);
+    fixture.restrictRoute(views, "route", Set.of("elsewhere"));
+
+    SessionRunner.BegunTransaction transaction = runner.begin(begin);
+    ServerReply reply =
+        runner.runInTransaction(
+            transaction, request(new Statement.Commit("commit-1", "COMMIT"), LATEST));
+    transaction.checkout().close();
+
+    assertThat(reply.failure() == null, is(true));
+  }
+
   /**
    * Opening a connection can take so long that the required position, recent when the read was
    * routed, is too old when it is sent.
