Limit what all VMs together send to a cold server

Cause: a server that has just started is slow and takes few requests per second (coldStartS and coldPerS of a service, coldRemainingMs of heartbeats); the VMs read none of the fields and sent it their full load.

ColdStartLimit lets the first K VMs by rendezvous hashing use a cold server and gives each an equal share, without messages. The router leaves out servers over their limit; SessionRunner counts statements right before they are sent, also those of transactions. Promotions prefer a server that is not cold among equal positions and regions. Announcements that a server became cold are relayed at once.

--- a/cowslipdale-config/src/test/java/org/cowslipdale/config/codec/EarlierVersionTests.java
+++ b/cowslipdale-config/src/test/java/org/cowslipdale/config/codec/EarlierVersionTests.java
@@ -8,7 +8,11 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Stream;
+import org.cowslipdale.core.backend.Announcement;
+import org.cowslipdale.core.backend.ServerRole;
+import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.view.Customer;
+import org.cowslipdale.core.view.Database;
 import org.cowslipdale.core.view.Freshness;
 import org.cowslipdale.core.view.SessionRoute;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -34,7 +38,27 @@
   private record EarlierCustomer(
       String name, double ratePerSecond, long burst, Set<String> databases) {}
 
+  private record EarlierDatabase(
+      String name, int servers, int connectionLimit, int synchronousReplicas) {}
+
+  private record EarlierAnnouncement(
+      String database,
+      String server,
+      String address,
+      String failureDomain,
+      String region,
+      ServerRole role,
+      LogPosition position,
+      long ageMillis,
+      int slots,
+      int connectionLimit,
+      boolean leaving,
+      long incarnation,
+      long sequence) {}
+
   static Stream<Arguments> recordsOfBothVersions() {
+    ServerRole role = ServerRole.REPLICA;
+    LogPosition position = new LogPosition(2, 7);
     Freshness freshness = new Freshness.BoundedAge(1_500);
     List<Arguments> pairs =
         List.of(
@@ -43,7 +67,13 @@
                 new SessionRoute("shop", "bonds", freshness, 800, 1_000, 2, true)),
             Arguments.of(
                 new EarlierCustomer("acme", 9.5, 9, Set.of("bonds")),
-                new Customer("acme", 9.5, 9, Set.of("bonds"))));
+                new Customer("acme", 9.5, 9, Set.of("bonds"))),
+            Arguments.of(new EarlierDatabase("bonds", 3, 70, 1), new Database("bonds", 3, 70, 1)),
+            Arguments.of(
+                new EarlierAnnouncement(
+                    "bonds", "s", "a:1", "a", "r", role, position, 0, 4, 70, false, 5, 6),
+                new Announcement(
+                    "bonds", "s", "a:1", "a", "r", role, position, 0, 4, 70, false, 5, 6)));
     List<ObjectMapper> codecs =
         List.of(Codecs.json(), Codecs.messagePack(), Codecs.compactMessagePack());
     return codecs.stream()
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/backend/BackendGroup.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/backend/BackendGroup.java
@@ -50,7 +50,12 @@
             : known == null || !known.announcement().leaving()
                 ? announcedAtMillis
                 : known.leavingSinceMillis();
-    return with(new BackendServer(announcement, announcedAtMillis, offset, leavingSince));
+    long incarnationSince =
+        known != null && known.announcement().incarnation() == announcement.incarnation()
+            ? known.incarnationSinceMillis()
+            : announcedAtMillis;
+    return with(
+        new BackendServer(announcement, announcedAtMillis, offset, leavingSince, incarnationSince));
   }
 
   /**
@@ -92,7 +97,11 @@
     }
     return with(
         new BackendServer(
-            known.announcement(), known.announcedAtMillis(), offset, known.leavingSinceMillis()));
+            known.announcement(),
+            known.announcedAtMillis(),
+            offset,
+            known.leavingSinceMillis(),
+            known.incarnationSinceMillis()));
   }
 
   /**
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/backend/BackendServer.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/backend/BackendServer.java
@@ -10,12 +10,18 @@
  * @param observedOffset the highest log offset in the server's announcements and replies
  * @param leavingSinceMillis the time of the first announcement that it is leaving, on the VM's
  *     monotonic clock, or {@link Long#MAX_VALUE} if it is not leaving
+ * @param incarnationSinceMillis the time of the first announcement of its incarnation, on the VM's
+ *     monotonic clock
  */
 public record BackendServer(
     Announcement announcement,
     long announcedAtMillis,
     long observedOffset,
-    long leavingSinceMillis) {
+    long leavingSinceMillis,
+    long incarnationSinceMillis) {
+
+  /** Bounds the effect of a mistaken announcement or configuration. */
+  private static final long MAX_COLD_MILLIS = 3_600_000;
 
   /** Returns the unique name of the server. */
   public String name() {
@@ -31,6 +37,20 @@
     return announcement.leaving() ? Math.max(0, now - leavingSinceMillis) : 0;
   }
 
+  /**
+   * Returns the time until which the server is slow because it has just started, on the VM's
+   * monotonic clock in milliseconds.
+   *
+   * @param coldStartMillis how long it stays slow if it does not announce that itself, in
+   *     milliseconds
+   */
+  public long coldUntilMillis(long coldStartMillis) {
+    Long remaining = announcement.coldRemainingMillis();
+    return remaining == null
+        ? incarnationSinceMillis + Math.min(coldStartMillis, MAX_COLD_MILLIS)
+        : announcedAtMillis + Math.min(remaining, MAX_COLD_MILLIS);
+  }
+
   /** Returns the position that the server is known to have reached. */
   public LogPosition position() {
     return new LogPosition(announcement.position().term(), observedOffset);
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/FailoverCoordinator.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/FailoverCoordinator.java
@@ -102,7 +102,7 @@
                   registry.group(name),
                   isSuspect(view, name, leaseHolders),
                   isTermInForce(view, name, inForce),
-                  PromotionPreference.of(view, name),
+                  PromotionPreference.of(view, name, now),
                   now)));
     }
     return actions;
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionDemand.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionDemand.java
@@ -16,6 +16,7 @@
  * @param sessionPosition the log position of the session's latest commit
  * @param triedServers the names of the servers that have already rejected it
  * @param homeRegions the regions in which its data may be handled
+ * @param sendLimit limits how often statements are sent to a server
  */
 public record SessionDemand(
     String customer,
@@ -23,7 +24,8 @@
     Freshness freshness,
     LogPosition sessionPosition,
     Set<String> triedServers,
-    HomeRegions homeRegions) {
+    HomeRegions homeRegions,
+    SendLimit sendLimit) {
 
   /** Copies the set and checks that no component is null. */
   public SessionDemand {
@@ -32,10 +34,11 @@
     requireNonNull(sessionPosition, "sessionPosition");
     triedServers = Set.copyOf(triedServers);
     requireNonNull(homeRegions, "homeRegions");
+    requireNonNull(sendLimit, "sendLimit");
   }
 
   /**
-   * Creates the requirements of a statement whose data may be handled everywhere.
+   * Creates the requirements of a statement that no limit and no home region restricts.
    *
    * @param customer the name of the customer whose connection is used
    * @param write whether the statement or transaction may write
@@ -49,6 +52,13 @@
       Freshness freshness,
       LogPosition sessionPosition,
       Set<String> triedServers) {
-    this(customer, write, freshness, sessionPosition, triedServers, HomeRegions.EVERYWHERE);
+    this(
+        customer,
+        write,
+        freshness,
+        sessionPosition,
+        triedServers,
+        HomeRegions.EVERYWHERE,
+        SendLimit.NONE);
   }
 }
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
@@ -44,6 +44,12 @@
    */
   private static final int REQUESTS_PER_LOAD_STEP = 2;
 
+  /**
+   * How long a read that replicas may serve waits for a primary over its limit before it is routed
+   * again, since a replica may be usable sooner.
+   */
+  private static final long REPLICA_CHECK_MILLIS = 100;
+
   private final String vm;
   private final String failureDomain;
   private final String region;
@@ -137,7 +143,8 @@
       long now) {
     boolean isPrimary = server.name().equals(state.primary());
     if (server.leavingForMillis(now) >= LEAVING_PRIMARY_GRACE_MILLIS
-        || !isInHomeRegion(server, demand.homeRegions())) {
+        || !isInHomeRegion(server, demand.homeRegions())
+        || now < demand.sendLimit().notBeforeMillis(server, now)) {
       return Optional.empty();
     }
     if (demand.write()) {
@@ -211,9 +218,20 @@
     if (now < busyUntilMillis) {
       return new SessionTarget.Wait(ResultCode.OVERLOADED, busyUntilMillis);
     }
+    long notBeforeMillis = demand.sendLimit().notBeforeMillis(server.get(), now);
+    if (now < notBeforeMillis) {
+      return requiresPrimary(demand)
+          ? new SessionTarget.NotBefore(ResultCode.OVERLOADED, notBeforeMillis)
+          : new SessionTarget.Wait(
+              ResultCode.OVERLOADED, Math.min(notBeforeMillis, now + REPLICA_CHECK_MILLIS));
+    }
     return new SessionTarget.RunOn(server.get(), state.term(), true, null, leaseRequired, now);
   }
 
+  private static boolean requiresPrimary(SessionDemand demand) {
+    return demand.write() || demand.freshness() instanceof Freshness.Latest;
+  }
+
   /**
    * Returns whether waiting cannot help because of the home regions: the primary is outside of them
    * and the statement requires it, or no other known server inside them stays.
@@ -231,8 +249,7 @@
     if (primary.isEmpty() || isInHomeRegion(primary.get(), homeRegions)) {
       return false;
     }
-    boolean requiresPrimary = demand.write() || demand.freshness() instanceof Freshness.Latest;
-    return requiresPrimary
+    return requiresPrimary(demand)
         || group.servers().values().stream()
             .noneMatch(
                 server -> !server.announcement().leaving() && isInHomeRegion(server, homeRegions));
@@ -257,6 +274,7 @@
               && isInHomeRegion(server, demand.homeRegions())
               && !demand.triedServers().contains(server.name())
               && now >= backoff.endMillis(server.name())
+              && now >= demand.sendLimit().notBeforeMillis(server, now)
               && !replicaLag.isBehind(server.name(), requiredPosition(demand, sample), now)
               && !load.isEjected(server.name(), group.servers().keySet(), now);
       if (eligible) {
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/failover/PromotionPreferenceTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/failover/PromotionPreferenceTests.java
@@ -54,6 +54,28 @@
         promote(view(regionsOfRoutes.split(" ", -1)), offsetNorth, offsetSouth), is(promoted));
   }
 
+  /** Guards against a primary that takes few requests while one that takes all is as recent. */
+  @ParameterizedTest
+  @CsvSource({
+    "north south, 5000, 20, 20, bonds-3",
+    "north south, 0, 20, 20, bonds-2",
+    "north south, 5000, 21, 20, bonds-2",
+    "north, 5000, 20, 20, bonds-2"
+  })
+  void prefersServerThatIsNotColdAmongEqualPositionsAndRegions(
+      String regionsOfRoutes,
+      long coldRemainingNorth,
+      long offsetNorth,
+      long offsetSouth,
+      String promoted) {
+    announce("bonds-2", "north", 3_500 + coldRemainingNorth);
+    announce("bonds-3", "south", 0);
+    now += 3_500;
+
+    assertThat(
+        promote(view(regionsOfRoutes.split(" ", -1)), offsetNorth, offsetSouth), is(promoted));
+  }
+
   private String promote(View initialView, long offset2, long offset3) {
     View view = initialView;
     Map<String, Long> offsets = Map.of("bonds-2", offset2, "bonds-3", offset3);
@@ -81,6 +103,10 @@
   }
 
   private void announce(String server, String region) {
+    announce(server, region, 0);
+  }
+
+  private void announce(String server, String region, long coldRemainingMillis) {
     registry.addAnnouncement(
         new Announcement(
             "bonds",
@@ -95,7 +121,8 @@
             30,
             false,
             1,
-            1),
+            1,
+            coldRemainingMillis),
         0,
         now);
   }
@@ -119,7 +146,7 @@
             Map.of(),
             Map.of(),
             Map.of(),
-            Map.of("bonds", new Database("bonds", 3)),
+            Map.of("bonds", new Database("bonds", 3, 70, 0, 10_000, 20)),
             routes.stream().collect(Collectors.toMap(SessionRoute::name, route -> route)),
             30_000);
     return View.EMPTY
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterHomeRegionsTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterHomeRegionsTests.java
@@ -115,7 +115,8 @@
   void isRefusedAtOnceIfRouteAndCustomerAreDisjoint() {
     HomeRegions none = new HomeRegions(true, Set.of());
     SessionDemand demand =
-        new SessionDemand("acme", false, BOUNDED_AGE, LogPosition.ZERO, Set.of(), none);
+        new SessionDemand(
+            "acme", false, BOUNDED_AGE, LogPosition.ZERO, Set.of(), none, SendLimit.NONE);
 
     assertThat(route(demand, VALID_LEASE), is(REFUSED_AT_ONCE));
   }
@@ -152,7 +153,8 @@
             BOUNDED_AGE,
             LogPosition.ZERO,
             Set.of("bonds-3"),
-            new HomeRegions(true, Set.of("south")));
+            new HomeRegions(true, Set.of("south")),
+            SendLimit.NONE);
 
     assertThat(
         route(demand, VALID_LEASE),
@@ -201,7 +203,8 @@
         freshness,
         LogPosition.ZERO,
         Set.of(),
-        new HomeRegions(true, Set.of(region)));
+        new HomeRegions(true, Set.of(region)),
+        SendLimit.NONE);
   }
 
   private static String serverName(SessionTarget target) {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/AnnouncementRelay.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/AnnouncementRelay.java
@@ -135,6 +135,7 @@
           .with("leaving", after.leaving())
           .with("incarnation", after.incarnation())
           .with("sequence", after.sequence())
+          .with("cold_remaining_ms", after.coldRemainingMillis())
           .write();
     }
   }
@@ -184,6 +185,7 @@
     return before.role() != after.role()
         || before.leaving() != after.leaving()
         || before.incarnation() != after.incarnation()
+        || before.announcesCold() != after.announcesCold()
         || before.position().term() != after.position().term()
         || !before.address().equals(after.address());
   }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
@@ -15,6 +15,7 @@
 import org.cowslipdale.core.backend.ServerBackoff;
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.failover.PrimaryTrafficMonitor;
+import org.cowslipdale.core.placement.ColdStartLimit;
 import org.cowslipdale.core.result.CowslipException;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.routing.ReplicaLagTracker;
@@ -53,6 +54,7 @@
   private final ServerHealth health = new ServerHealth();
   private final PrimaryTrafficMonitor trafficMonitor = new PrimaryTrafficMonitor();
   private final SessionConnector connector;
+  private final ColdStartLimit coldStartLimit;
   private @Nullable SessionPools pools;
   private @Nullable SessionServer sessionServer;
   private List<Endpoint> endpoints = List.of();
@@ -75,6 +77,7 @@
     this.meters = requireNonNull(meters, "meters");
     this.readiness = requireNonNull(readiness, "readiness");
     this.clock = requireNonNull(clock, "clock");
+    this.coldStartLimit = new ColdStartLimit(settings.vm().name());
     this.connector = adapter.sessionConnector(vertx, settings);
   }
 
@@ -99,7 +102,7 @@
     ReplicaLagTracker lagTracker = new ReplicaLagTracker();
     ServerBackoff backoff = new ServerBackoff(new Random());
     PlacementCounters placementCounters = new PlacementCounters();
-    placementCounters.register(meters);
+    placementCounters.register(meters, coldStartLimit);
     SessionContext context =
         new SessionContext(
             views,
@@ -120,6 +123,7 @@
             trafficMonitor,
             control.rateLimiter(),
             clock,
+            coldStartLimit,
             placementCounters,
             adapter.features(settings));
     PrimaryChecker checker =
@@ -162,6 +166,7 @@
           .forEach(
               database -> registeredServers.addAll(registry.group(database).servers().keySet()));
       pools().retain(registeredServers);
+      coldStartLimit.retain(registeredServers);
     }
   }
 
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionContext.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionContext.java
@@ -8,6 +8,7 @@
 import org.cowslipdale.core.backend.ServerBackoff;
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.failover.PrimaryTrafficMonitor;
+import org.cowslipdale.core.placement.ColdStartLimit;
 import org.cowslipdale.core.routing.FleetPositions;
 import org.cowslipdale.core.routing.ReplicaLagTracker;
 import org.cowslipdale.core.routing.SessionRouter;
@@ -29,6 +30,7 @@
  * @param trafficMonitor the monitor of which primaries answer
  * @param limiter the rate limiter for customers
  * @param clock the VM's clock
+ * @param coldStartLimit the limit for servers that have just started
  * @param placementCounters the counters of placement decisions
  * @param features the optional features in use
  */
@@ -44,6 +46,7 @@
     PrimaryTrafficMonitor trafficMonitor,
     RateLimiter limiter,
     VmClock clock,
+    ColdStartLimit coldStartLimit,
     PlacementCounters placementCounters,
     Set<Feature> features) {
 
@@ -60,6 +63,7 @@
     requireNonNull(trafficMonitor, "trafficMonitor");
     requireNonNull(limiter, "limiter");
     requireNonNull(clock, "clock");
+    requireNonNull(coldStartLimit, "coldStartLimit");
     requireNonNull(placementCounters, "placementCounters");
     features = Set.copyOf(features);
   }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -24,8 +24,10 @@
 import org.cowslipdale.core.statement.Statement;
 import org.cowslipdale.core.statement.Statement.PreparedStatement;
 import org.cowslipdale.core.statement.TransactionState;
+import org.cowslipdale.core.view.Database;
 import org.cowslipdale.core.view.DatabaseState;
 import org.cowslipdale.core.view.Freshness;
+import org.cowslipdale.core.view.View;
 import org.cowslipdale.daemon.connection.BackendException;
 import org.cowslipdale.daemon.telemetry.DecisionLog;
 import org.cowslipdale.daemon.telemetry.LogEvent;
@@ -174,6 +176,7 @@
         transaction.commitRequiresLease() && request.statement() instanceof Statement.Commit;
     long delay = INITIAL_RETRY_DELAY_MILLIS;
     while (true) {
+      awaitSend(transaction.target(), request);
       if (requiresLease && !isCurrentPrimary(request, transaction.target())) {
         throw new RefusalException(ResultCode.NO_LEASE);
       }
@@ -193,8 +196,73 @@
     }
   }
 
-  /** Rolls a transaction back without waiting for the server's reply. */
+  /**
+   * Waits until the limit of a cold server allows another statement, and counts it.
+   *
+   * @throws RefusalException if that is after the statement's deadline; the transaction must end
+   */
+  private void awaitSend(RunOn target, StatementRequest request) throws RefusalException {
+    while (true) {
+      long now = context.clock().millis();
+      View view = context.views().get().view();
+      BackendServer server = currentServer(target);
+      if (context.coldStartLimit().trySend(server, view, now)) {
+        return;
+      }
+      long untilMillis = context.coldStartLimit().notBeforeMillis(server, view, now);
+      if (untilMillis >= request.deadlineMillis() - MIN_RUN_MILLIS) {
+        logColdRefusal(request, server.name(), untilMillis);
+        throw new RefusalException(
+            ResultCode.TRANSACTION_ABORTED,
+            "The server takes no statement before the deadline because it has just started.");
+      }
+      sleep(Math.clamp(untilMillis - now, 1, REROUTE_AFTER_MILLIS));
+    }
+  }
+
+  private BackendServer currentServer(RunOn target) {
+    BackendServer server = target.server();
+    return context
+        .registry()
+        .group(server.announcement().database())
+        .server(server.name())
+        .orElse(server);
+  }
+
+  private void logColdRefusal(StatementRequest request, String server, long untilMillis) {
+    long now = context.clock().millis();
+    View view = context.views().get().view();
+    String database = request.operation().route().database();
+    Database declared = view.configuration().databases().get(database);
+    double rate = declared == null ? 0 : declared.coldRequestsPerSecond();
+    DecisionLog.line(LogEvent.COLD_SERVER_LIMITED)
+        .with("request", request.statement().id())
+        .with("database", database)
+        .with("server", server)
+        .with("rate", rate)
+        .with("share", context.coldStartLimit().share(server, view, rate))
+        .with("vms", view.vms().size())
+        .with("next_ms", untilMillis - now)
+        .with("left_ms", request.deadlineMillis() - now)
+        .write();
+  }
+
+  /**
+   * Rolls a transaction back without waiting for the server's reply. If the limit of a cold server
+   * does not allow a rollback now, its connection is closed, and the server rolls back itself.
+   */
   void rollBack(BegunTransaction transaction, Statement.Rollback statement) {
+    boolean permitted =
+        context
+            .coldStartLimit()
+            .trySend(
+                currentServer(transaction.target()),
+                context.views().get().view(),
+                context.clock().millis());
+    if (!permitted) {
+      transaction.checkout().close();
+      return;
+    }
     Thread.startVirtualThread(
         () -> {
           try {
@@ -306,15 +374,17 @@
         if (confirmed.isPresent()) {
           prepareConnection(checkout.session());
           prepared = true;
-          confirmed = confirm(target.server());
+          confirmed = confirm(target.server()).filter(RetryLoop.this::countSend);
         }
         if (confirmed.isEmpty()) {
           checkout.markClean();
           checkout.close();
           lastFailureCode =
-              request.isWrite() && !target.leaseRequired()
-                  ? ResultCode.NO_PRIMARY
-                  : ResultCode.NO_LEASE;
+              isLimited(target.server())
+                  ? ResultCode.OVERLOADED
+                  : request.isWrite() && !target.leaseRequired()
+                      ? ResultCode.NO_PRIMARY
+                      : ResultCode.NO_LEASE;
           return Optional.empty();
         }
         sent = true;
@@ -374,7 +444,21 @@
           request.operation().route().freshness(),
           request.lastCommittedPosition(),
           triedServers,
-          homeRegions(current));
+          homeRegions(current),
+          (server, now) -> context.coldStartLimit().notBeforeMillis(server, current.view(), now));
+    }
+
+    /** Counts the statement against the limit of a cold server; returns whether it may be sent. */
+    private boolean countSend(RunOn confirmed) {
+      return context
+          .coldStartLimit()
+          .trySend(confirmed.server(), context.views().get().view(), context.clock().millis());
+    }
+
+    private boolean isLimited(BackendServer server) {
+      long now = context.clock().millis();
+      return now
+          < context.coldStartLimit().notBeforeMillis(server, context.views().get().view(), now);
     }
 
     /**
@@ -483,6 +567,8 @@
         if (notBefore.code() == ResultCode.NO_SERVER_IN_HOME_REGION) {
           context.placementCounters().countHomeRegionRefusal();
           logHomeRegionRefusal();
+        } else {
+          logPrimaryLimited(notBefore.untilMillis());
         }
         throw new RefusalException(notBefore.code());
       }
@@ -490,6 +576,14 @@
       triedServers.clear();
     }
 
+    private void logPrimaryLimited(long untilMillis) {
+      String database = request.operation().route().database();
+      String primary = context.views().get().view().database(database).primary();
+      if (primary != null) {
+        logColdRefusal(request, primary, untilMillis);
+      }
+    }
+
     /** Logs the regions that were compared; refusals are the only lines, one for each statement. */
     private void logHomeRegionRefusal() {
       CurrentView current = context.views().get();
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/telemetry/LogEvent.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/telemetry/LogEvent.java
@@ -18,6 +18,8 @@
   STATEMENT_REFUSED("statement-refused"),
   /** A statement was refused, because no suitable server is in its home regions. */
   HOME_REGION_REFUSED("home-region-refused"),
+  /** A statement was refused, because this VM may not send a cold server another one in time. */
+  COLD_SERVER_LIMITED("cold-server-limited"),
   /** A server rejected a statement, which is retried if its time limit allows. */
   SERVER_DECLINED("server-declined"),
   /** No connection to a server could be opened. */
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/AnnouncementRelayTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/AnnouncementRelayTests.java
@@ -90,6 +90,20 @@
     assertThat(sent, containsInAnyOrder("vm2 bonds-1", "control-1 bonds-1"));
   }
 
+  /** Guards against VMs that take a server for warm until its next relayed announcement. */
+  @Test
+  void relaysThatAServerIsColdToAllVmsAtOnce() {
+    views.publish(view("vm1", "vm2", "control-1"), 0, 0);
+    relay.addAnnouncement(announcement("bonds-1", 1, 0));
+    relay.sendPending();
+    sent.clear();
+
+    relay.addAnnouncement(announcement("bonds-1", 2, 4_000));
+    relay.sendPending();
+
+    assertThat(sent, containsInAnyOrder("vm2 bonds-1", "control-1 bonds-1"));
+  }
+
   private AnnouncementRelay relay(long expiryMillis) {
     return new AnnouncementRelay(
         "vm1",
@@ -113,6 +127,10 @@
   }
 
   private static Announcement announcement(String server, long sequence) {
+    return announcement(server, sequence, 0);
+  }
+
+  private static Announcement announcement(String server, long sequence, long coldRemainingMillis) {
     return new Announcement(
         "bonds",
         server,
@@ -126,6 +144,7 @@
         30,
         false,
         1,
-        sequence);
+        sequence,
+        coldRemainingMillis);
   }
 }
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionFixture.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionFixture.java
@@ -11,6 +11,7 @@
 import org.cowslipdale.core.backend.ServerRole;
 import org.cowslipdale.core.failover.PrimaryTrafficMonitor;
 import org.cowslipdale.core.permit.HeldPermits;
+import org.cowslipdale.core.placement.ColdStartLimit;
 import org.cowslipdale.core.routing.FleetPositions;
 import org.cowslipdale.core.routing.ReplicaLagTracker;
 import org.cowslipdale.core.routing.SessionRouter;
@@ -24,6 +25,7 @@
 import org.cowslipdale.core.view.SessionRoute;
 import org.cowslipdale.core.view.View;
 import org.cowslipdale.core.view.ViewCommand;
+import org.cowslipdale.core.view.VmRecord;
 import org.cowslipdale.daemon.request.RateLimiter;
 import org.cowslipdale.daemon.version.ViewHolder;
 import org.cowslipdale.daemon.version.VmClock;
@@ -117,6 +119,7 @@
         new PrimaryTrafficMonitor(),
         limiter,
         clock,
+        new ColdStartLimit("vm1"),
         new PlacementCounters(),
         Set.of());
   }
@@ -160,6 +163,28 @@
         clock.millis());
   }
 
+  /** Makes all servers cold, and registers VMs of which this one is the first. */
+  void limitColdServers(ViewHolder views, double requestsPerSecond, int vms) {
+    View view = views.get().view();
+    Database database = new Database("bonds", 2, CONNECTION_LIMIT, 0, 60_000, requestsPerSecond);
+    Configuration configuration =
+        new Configuration(
+            Map.of(),
+            Map.of(),
+            Map.of(),
+            Map.of("bonds", database),
+            view.configuration().sessionRoutes(),
+            30_000);
+    DeclaredDocument document = new DeclaredDocument(view.document().version() + 1, "{}");
+    view =
+        view.apply(new ViewCommand.ReplaceConfiguration(document, configuration, List.of())).view();
+    for (int i = 1; i <= vms; i++) {
+      VmRecord vm = new VmRecord("vm" + i, "a", "r", "address", 0, 0, true);
+      view = view.apply(new ViewCommand.RegisterVm(vm, 0)).view();
+    }
+    views.publish(view, Long.MIN_VALUE, 1);
+  }
+
   /** Publishes a configuration that restricts the route {@code name} to regions. */
   void restrictRoute(ViewHolder views, String name, Set<String> regions) {
     View view = views.get().view();
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
@@ -177,6 +177,85 @@
     assertThat(reply.failure() == null, is(true));
   }
 
+  /**
+   * Guards against statements that are counted when they are routed, not when they are sent: all of
+   * these are routed before the first one is sent.
+   */
+  @Order(23)
+  @Test
+  void sendsColdServerNoMoreThanItsShare() throws Exception {
+    fixture.limitColdServers(views, 1, 1);
+    servers.delayConnections(100);
+    for (int i = 0; i < 4; i++) {
+      String id = "write-" + i;
+      threads.add(
+          Thread.startVirtualThread(
+              () -> {
+                try {
+                  runner.run(request(id, true, LATEST));
+                } catch (RefusalException e) {
+                  // The share of this VM was used up.
+                }
+              }));
+    }
+    Thread.sleep(700);
+
+    assertThat(servers.runs().size(), is(1));
+  }
+
+  /** Guards against a write that fails although the next window begins before its deadline. */
+  @Order(24)
+  @Test
+  void writeWaitsForTheNextWindowOfAColdPrimary() throws Exception {
+    fixture.limitColdServers(views, 1, 1);
+    runner.run(request("write-1", true, LATEST));
+    long startMillis = clock.millis();
+
+    runner.run(request("write-2", true, LATEST));
+
+    assertThat(clock.millis() - startMillis > 900, is(true));
+    assertThat(servers.runs(), is(List.of("bonds-1 write-1", "bonds-1 write-2")));
+  }
+
+  /** Guards against a refusal that keeps the caller waiting although no wait can help. */
+  @Order(25)
+  @Test
+  void refusesWriteAtOnceIfTheNextWindowIsTooLate() throws Exception {
+    fixture.limitColdServers(views, 1, 1);
+    runner.run(request("write-1", true, LATEST));
+    long startMillis = clock.millis();
+
+    RefusalException e =
+        assertThrows(
+            RefusalException.class, () -> runner.run(request("write-2", true, LATEST, 900)));
+
+    assertThat(e.code(), is(ResultCode.OVERLOADED));
+    assertThat(clock.millis() - startMillis < 400, is(true));
+    assertThat(returnedTokens.get(), is(1));
+  }
+
+  /** Guards against statements of transactions, commits and rollbacks that are not counted. */
+  @Order(26)
+  @Test
+  void countsStatementsOfTransactions() throws Exception {
+    fixture.limitColdServers(views, 2, 1);
+    SessionRunner.BegunTransaction transaction =
+        runner.begin(request(new Statement.Begin("begin-1", "BEGIN", false), LATEST));
+    runner.runInTransaction(transaction, request("write-1", true, LATEST));
+
+    RefusalException e =
+        assertThrows(
+            RefusalException.class,
+            () ->
+                runner.runInTransaction(
+                    transaction, request(new Statement.Commit("commit-1", "COMMIT"), LATEST, 500)));
+    runner.rollBack(transaction, new Statement.Rollback("rollback-1", "ROLLBACK"));
+    Thread.sleep(200);
+
+    assertThat(e.code(), is(ResultCode.TRANSACTION_ABORTED));
+    assertThat(servers.runs(), is(List.of("bonds-1 begin-1", "bonds-1 write-1")));
+  }
+
   /**
    * Opening a connection can take so long that the required position, recent when the read was
    * routed, is too old when it is sent.
