--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/FailoverCoordinator.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/FailoverCoordinator.java
@@ -103,6 +103,7 @@
                   isSuspect(view, name, leaseHolders),
                   isTermInForce(view, name, inForce),
                   view.evacuatedDomains(),
+                  CandidatePreference.of(view, name, now),
                   now)));
     }
     return actions;
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
@@ -125,6 +125,8 @@
    * @param suspect whether the reports of the VMs indicate that the primary is unreachable
    * @param termInForce whether the current term is in force on every VM
    * @param evacuatedDomains the evacuated failure domains
+   * @param candidatePreference the order of candidates with equal positions, the preferred one
+   *     first
    * @param now the current time on the leader's monotonic clock, in milliseconds
    */
   record Situation(
@@ -134,6 +136,7 @@
       boolean suspect,
       boolean termInForce,
       Set<String> evacuatedDomains,
+      Comparator<BackendServer> candidatePreference,
       long now) {}
 
   GroupFailover(String database, PromotionMode promotionMode) {
@@ -492,7 +495,10 @@
         server ->
             !positions.containsKey(server.name()) || isRejected(server.name(), situation.now()));
     candidates.sort(
-        preference(situation).tieBreak().thenComparing(Comparator.comparing(BackendServer::name)));
+        situation
+            .candidatePreference()
+            .thenComparing(preference(situation).tieBreak())
+            .thenComparing(BackendServer::name));
     return candidates;
   }
 
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
@@ -9,6 +9,7 @@
 import org.cowslipdale.core.backend.BackendGroup;
 import org.cowslipdale.core.backend.BackendServer;
 import org.cowslipdale.core.backend.ServerBackoff;
+import org.cowslipdale.core.placement.HomeRegions;
 import org.cowslipdale.core.placement.Placement;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.session.LogPosition;
@@ -43,6 +44,12 @@
    */
   private static final int REQUESTS_PER_LOAD_STEP = 2;
 
+  /**
+   * How long a read that replicas may serve waits for a primary over its limit before it is routed
+   * again, since a replica may be usable sooner.
+   */
+  private static final long REPLICA_CHECK_MILLIS = 100;
+
   private final String vm;
   private final String failureDomain;
   private final String region;
@@ -98,6 +105,9 @@
       PositionHistory history,
       Evacuations evacuations,
       long now) {
+    if (hasNoServerInHomeRegions(demand, group, state)) {
+      return new SessionTarget.NotBefore(ResultCode.NO_SERVER_IN_HOME_REGION, Long.MAX_VALUE);
+    }
     if (demand.write()) {
       return mayWrite(lease, now)
           ? routeToPrimary(group, state, demand, requiresLeaseToWrite(), evacuations, now)
@@ -144,7 +154,9 @@
       long now) {
     boolean isPrimary = server.name().equals(state.primary());
     if (server.leavingForMillis(now) >= LEAVING_PRIMARY_GRACE_MILLIS
-        || !evacuations.permits(server, isPrimary, now)) {
+        || !evacuations.permits(server, isPrimary, now)
+        || !isInHomeRegion(server, demand.homeRegions())
+        || now < demand.sendLimit().notBeforeMillis(server, now)) {
       return Optional.empty();
     }
     if (demand.write()) {
@@ -208,6 +220,9 @@
     if (server.isPresent() && !evacuations.permits(server.get(), true, now)) {
       return new SessionTarget.Refuse(ResultCode.SERVER_EVACUATED);
     }
+    if (server.isPresent() && !isInHomeRegion(server.get(), demand.homeRegions())) {
+      return new SessionTarget.Wait(ResultCode.NO_SERVER_IN_HOME_REGION);
+    }
     boolean usable =
         server.isPresent()
             && !demand.triedServers().contains(server.get().name())
@@ -219,9 +234,47 @@
     if (now < busyUntilMillis) {
       return new SessionTarget.Wait(ResultCode.OVERLOADED, busyUntilMillis);
     }
+    long notBeforeMillis = demand.sendLimit().notBeforeMillis(server.get(), now);
+    if (now < notBeforeMillis) {
+      return requiresPrimary(demand)
+          ? new SessionTarget.NotBefore(ResultCode.OVERLOADED, notBeforeMillis)
+          : new SessionTarget.Wait(
+              ResultCode.OVERLOADED, Math.min(notBeforeMillis, now + REPLICA_CHECK_MILLIS));
+    }
     return new SessionTarget.RunOn(server.get(), state.term(), true, null, leaseRequired, now);
   }
 
+  private static boolean requiresPrimary(SessionDemand demand) {
+    return demand.write() || demand.freshness() instanceof Freshness.Latest;
+  }
+
+  /**
+   * Returns whether waiting cannot help because of the home regions: the primary is outside of them
+   * and the statement requires it, or no other known server inside them stays.
+   */
+  private static boolean hasNoServerInHomeRegions(
+      SessionDemand demand, BackendGroup group, DatabaseState state) {
+    HomeRegions homeRegions = demand.homeRegions();
+    if (!homeRegions.restricted()) {
+      return false;
+    }
+    if (homeRegions.regions().isEmpty()) {
+      return true;
+    }
+    Optional<BackendServer> primary = Optional.ofNullable(state.primary()).flatMap(group::server);
+    if (primary.isEmpty() || isInHomeRegion(primary.get(), homeRegions)) {
+      return false;
+    }
+    return requiresPrimary(demand)
+        || group.servers().values().stream()
+            .noneMatch(
+                server -> !server.announcement().leaving() && isInHomeRegion(server, homeRegions));
+  }
+
+  private static boolean isInHomeRegion(BackendServer server, HomeRegions homeRegions) {
+    return homeRegions.allows(server.announcement().region());
+  }
+
   private Optional<SessionTarget> routeToAnyServer(
       SessionDemand demand,
       BackendGroup group,
@@ -236,8 +289,10 @@
       boolean eligible =
           !server.announcement().leaving()
               && evacuations.permits(server, false, now)
+              && isInHomeRegion(server, demand.homeRegions())
               && !demand.triedServers().contains(server.name())
               && now >= backoff.endMillis(server.name())
+              && now >= demand.sendLimit().notBeforeMillis(server, now)
               && !replicaLag.isBehind(server.name(), requiredPosition(demand, sample), now)
               && !load.isEjected(server.name(), group.servers().keySet(), now);
       if (eligible) {
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/EvacuationRoutingTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/EvacuationRoutingTests.java
@@ -199,6 +199,7 @@
       case SessionTarget.RunOn run -> run.server().name();
       case SessionTarget.Wait wait -> wait.code().name();
       case SessionTarget.Refuse refuse -> refuse.code().name();
+      case SessionTarget.NotBefore notBefore -> notBefore.code().name();
     };
   }
 
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -6,8 +6,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.ThreadLocalRandom;
 import org.cowslipdale.core.backend.BackendServer;
+import org.cowslipdale.core.placement.HomeRegions;
 import org.cowslipdale.core.result.Outcome;
 import org.cowslipdale.core.result.RefusalException;
 import org.cowslipdale.core.result.ResultCode;
@@ -21,8 +24,10 @@
 import org.cowslipdale.core.statement.Statement;
 import org.cowslipdale.core.statement.Statement.PreparedStatement;
 import org.cowslipdale.core.statement.TransactionState;
+import org.cowslipdale.core.view.Database;
 import org.cowslipdale.core.view.DatabaseState;
 import org.cowslipdale.core.view.Freshness;
+import org.cowslipdale.core.view.View;
 import org.cowslipdale.daemon.connection.BackendException;
 import org.cowslipdale.daemon.telemetry.DecisionLog;
 import org.cowslipdale.daemon.telemetry.LogEvent;
@@ -171,6 +176,7 @@
         transaction.commitRequiresLease() && request.statement() instanceof Statement.Commit;
     long delay = INITIAL_RETRY_DELAY_MILLIS;
     while (true) {
+      awaitSend(transaction.target(), request);
       if (requiresLease && !isCurrentPrimary(request, transaction.target())) {
         throw new RefusalException(ResultCode.NO_LEASE);
       }
@@ -190,8 +196,73 @@
     }
   }
 
-  /** Rolls a transaction back without waiting for the server's reply. */
+  /**
+   * Waits until the limit of a cold server allows another statement, and counts it.
+   *
+   * @throws RefusalException if that is after the statement's deadline; the transaction must end
+   */
+  private void awaitSend(RunOn target, StatementRequest request) throws RefusalException {
+    while (true) {
+      long now = context.clock().millis();
+      View view = context.views().get().view();
+      BackendServer server = currentServer(target);
+      if (context.coldStartLimit().trySend(server, view, now)) {
+        return;
+      }
+      long untilMillis = context.coldStartLimit().notBeforeMillis(server, view, now);
+      if (untilMillis >= request.deadlineMillis() - MIN_RUN_MILLIS) {
+        logColdRefusal(request, server.name(), untilMillis);
+        throw new RefusalException(
+            ResultCode.TRANSACTION_ABORTED,
+            "The server takes no statement before the deadline because it has just started.");
+      }
+      sleep(Math.clamp(untilMillis - now, 1, REROUTE_AFTER_MILLIS));
+    }
+  }
+
+  private BackendServer currentServer(RunOn target) {
+    BackendServer server = target.server();
+    return context
+        .registry()
+        .group(server.announcement().database())
+        .server(server.name())
+        .orElse(server);
+  }
+
+  private void logColdRefusal(StatementRequest request, String server, long untilMillis) {
+    long now = context.clock().millis();
+    View view = context.views().get().view();
+    String database = request.operation().route().database();
+    Database declared = view.configuration().databases().get(database);
+    double rate = declared == null ? 0 : declared.coldRequestsPerSecond();
+    DecisionLog.line(LogEvent.COLD_SERVER_LIMITED)
+        .with("request", request.statement().id())
+        .with("database", database)
+        .with("server", server)
+        .with("rate", rate)
+        .with("share", context.coldStartLimit().share(server, view, rate))
+        .with("vms", view.vms().size())
+        .with("next_ms", untilMillis - now)
+        .with("left_ms", request.deadlineMillis() - now)
+        .write();
+  }
+
+  /**
+   * Rolls a transaction back without waiting for the server's reply. If the limit of a cold server
+   * does not allow a rollback now, its connection is closed, and the server rolls back itself.
+   */
   void rollBack(BegunTransaction transaction, Statement.Rollback statement) {
+    boolean permitted =
+        context
+            .coldStartLimit()
+            .trySend(
+                currentServer(transaction.target()),
+                context.views().get().view(),
+                context.clock().millis());
+    if (!permitted) {
+      transaction.checkout().close();
+      return;
+    }
     Thread.startVirtualThread(
         () -> {
           try {
@@ -252,6 +323,7 @@
         switch (route()) {
           case SessionTarget.Wait wait -> awaitRoute(wait);
           case SessionTarget.Refuse refuse -> throw new RefusalException(refuse.code());
+          case SessionTarget.NotBefore notBefore -> awaitOrRefuse(notBefore);
           case RunOn target -> {
             Optional<T> result = tryServer(target);
             if (result.isPresent()) {
@@ -305,16 +377,21 @@
       }
       boolean prepared = false;
       try {
-        prepareConnection(checkout.session());
-        prepared = true;
         Optional<RunOn> confirmed = confirm(target.server());
+        if (confirmed.isPresent()) {
+          prepareConnection(checkout.session());
+          prepared = true;
+          confirmed = confirm(target.server()).filter(RetryLoop.this::countSend);
+        }
         if (confirmed.isEmpty()) {
           checkout.markClean();
           checkout.close();
           lastFailureCode =
-              request.isWrite() && !target.leaseRequired()
-                  ? ResultCode.NO_PRIMARY
-                  : ResultCode.NO_LEASE;
+              isLimited(target.server())
+                  ? ResultCode.OVERLOADED
+                  : request.isWrite() && !target.leaseRequired()
+                      ? ResultCode.NO_PRIMARY
+                      : ResultCode.NO_LEASE;
           return Optional.empty();
         }
         sent = true;
@@ -356,7 +433,7 @@
       return context
           .router()
           .route(
-              createDemand(),
+              createDemand(current),
               context.registry().group(database),
               current.view().database(database),
               current.lease(),
@@ -372,7 +449,7 @@
           .router()
           .confirm(
               context.registry().group(database).server(server.name()).orElse(server),
-              createDemand(),
+              createDemand(current),
               current.view().database(database),
               current.lease(),
               context.positions().historyOf(database),
@@ -380,13 +457,46 @@
               context.clock().millis());
     }
 
-    private SessionDemand createDemand() {
+    private SessionDemand createDemand(CurrentView current) {
       return new SessionDemand(
           request.operation().customer(),
           request.isWrite(),
           request.operation().route().freshness(),
           request.lastCommittedPosition(),
-          triedServers);
+          triedServers,
+          homeRegions(current),
+          (server, now) -> context.coldStartLimit().notBeforeMillis(server, current.view(), now));
+    }
+
+    /** Counts the statement against the limit of a cold server; returns whether it may be sent. */
+    private boolean countSend(RunOn confirmed) {
+      return context
+          .coldStartLimit()
+          .trySend(confirmed.server(), context.views().get().view(), context.clock().millis());
+    }
+
+    private boolean isLimited(BackendServer server) {
+      long now = context.clock().millis();
+      return now
+          < context.coldStartLimit().notBeforeMillis(server, context.views().get().view(), now);
+    }
+
+    /**
+     * Returns the regions in which the statement's data may be handled. A transaction keeps those
+     * that applied when it began; any other statement obeys a change while it waits.
+     */
+    private HomeRegions homeRegions(CurrentView current) {
+      AdmittedOperation operation = request.operation();
+      if (request.statement() instanceof Statement.Begin) {
+        return operation.homeRegions();
+      }
+      boolean anonymous = operation.customer().equals(SessionAdmission.ANONYMOUS_CUSTOMER);
+      return operation
+          .homeRegions()
+          .current(
+              current.view().configuration(),
+              operation.route().name(),
+              anonymous ? null : operation.customer());
     }
 
     private long remainingMillis() {
@@ -467,6 +577,55 @@
       triedServers.clear();
     }
 
+    /**
+     * Waits until a server may become suitable, or refuses the statement at once if that is after
+     * its deadline.
+     */
+    private void awaitOrRefuse(SessionTarget.NotBefore notBefore) throws RefusalException {
+      long now = context.clock().millis();
+      if (notBefore.untilMillis() >= request.deadlineMillis() - MIN_RUN_MILLIS) {
+        if (notBefore.code() == ResultCode.NO_SERVER_IN_HOME_REGION) {
+          context.placementCounters().countHomeRegionRefusal();
+          logHomeRegionRefusal();
+        } else {
+          logPrimaryLimited(notBefore.untilMillis());
+        }
+        throw new RefusalException(notBefore.code());
+      }
+      sleep(Math.clamp(notBefore.untilMillis() - now, 1, REROUTE_AFTER_MILLIS));
+      triedServers.clear();
+    }
+
+    private void logPrimaryLimited(long untilMillis) {
+      String database = request.operation().route().database();
+      String primary = context.views().get().view().database(database).primary();
+      if (primary != null) {
+        logColdRefusal(request, primary, untilMillis);
+      }
+    }
+
+    /** Logs the regions that were compared; refusals are the only lines, one for each statement. */
+    private void logHomeRegionRefusal() {
+      CurrentView current = context.views().get();
+      String database = request.operation().route().database();
+      Map<String, String> serverRegions = new TreeMap<>();
+      context
+          .registry()
+          .group(database)
+          .servers()
+          .forEach((name, server) -> serverRegions.put(name, server.announcement().region()));
+      DecisionLog.line(LogEvent.HOME_REGION_REFUSED)
+          .with("request", request.statement().id())
+          .with("customer", request.operation().customer())
+          .with("database", database)
+          .with("write", request.isWrite())
+          .with("home_regions", new TreeSet<>(homeRegions(current).regions()))
+          .with("primary", current.view().database(database).primary())
+          .with("server_regions", serverRegions)
+          .with("configuration_version", current.view().document().version())
+          .write();
+    }
+
     private void pauseBeforeRetry(ResultCode code) throws RefusalException {
       long jittered = retryDelayMillis / 2 + ThreadLocalRandom.current().nextLong(retryDelayMillis);
       sleep(Math.min(jittered + 1, remainingWaitMillis(code)));
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionFixture.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionFixture.java
@@ -11,18 +11,21 @@
 import org.cowslipdale.core.backend.ServerRole;
 import org.cowslipdale.core.failover.PrimaryTrafficMonitor;
 import org.cowslipdale.core.permit.HeldPermits;
+import org.cowslipdale.core.placement.ColdStartLimit;
 import org.cowslipdale.core.routing.FleetPositions;
 import org.cowslipdale.core.routing.ReplicaLagTracker;
 import org.cowslipdale.core.routing.SessionRouter;
 import org.cowslipdale.core.routing.WriteFencing;
 import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.view.Configuration;
+import org.cowslipdale.core.view.Customer;
 import org.cowslipdale.core.view.Database;
 import org.cowslipdale.core.view.DeclaredDocument;
 import org.cowslipdale.core.view.Freshness;
 import org.cowslipdale.core.view.SessionRoute;
 import org.cowslipdale.core.view.View;
 import org.cowslipdale.core.view.ViewCommand;
+import org.cowslipdale.core.view.VmRecord;
 import org.cowslipdale.daemon.request.RateLimiter;
 import org.cowslipdale.daemon.version.ViewHolder;
 import org.cowslipdale.daemon.version.VmClock;
@@ -116,6 +119,8 @@
         new PrimaryTrafficMonitor(),
         limiter,
         clock,
+        new ColdStartLimit("vm1"),
+        new PlacementCounters(),
         Set.of());
   }
 
@@ -158,6 +163,50 @@
         clock.millis());
   }
 
+  /** Makes all servers cold, and registers VMs of which this one is the first. */
+  void limitColdServers(ViewHolder views, double requestsPerSecond, int vms) {
+    View view = views.get().view();
+    Database database = new Database("bonds", 2, CONNECTION_LIMIT, 0, 60_000, requestsPerSecond);
+    Configuration configuration =
+        new Configuration(
+            Map.of(),
+            Map.of(),
+            Map.of(),
+            Map.of("bonds", database),
+            view.configuration().sessionRoutes(),
+            30_000);
+    DeclaredDocument document = new DeclaredDocument(view.document().version() + 1, "{}");
+    view =
+        view.apply(new ViewCommand.ReplaceConfiguration(document, configuration, List.of())).view();
+    for (int i = 1; i <= vms; i++) {
+      VmRecord vm = new VmRecord("vm" + i, "a", "r", "address", 0, 0, true);
+      view = view.apply(new ViewCommand.RegisterVm(vm, 0)).view();
+    }
+    views.publish(view, Long.MIN_VALUE, 1, clock.millis());
+  }
+
+  /** Publishes a configuration that restricts the route {@code name} to regions. */
+  void restrictRoute(ViewHolder views, String name, Set<String> regions) {
+    View view = views.get().view();
+    SessionRoute route =
+        new SessionRoute(
+            name, "bonds", new Freshness.Latest(), LIMIT_MILLIS, LIMIT_MILLIS, 1, true, regions);
+    Configuration configuration =
+        new Configuration(
+            Map.of(),
+            Map.of("acme", new Customer("acme", 1, 1, Set.of())),
+            Map.of(),
+            view.configuration().databases(),
+            Map.of(name, route),
+            30_000);
+    DeclaredDocument document = new DeclaredDocument(view.document().version() + 1, "{}");
+    views.publish(
+        view.apply(new ViewCommand.ReplaceConfiguration(document, configuration, List.of())).view(),
+        Long.MIN_VALUE,
+        1,
+        clock.millis());
+  }
+
   private static View view() {
     SessionRoute openRoute =
         new SessionRoute(
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cowslipdale.core.result.Outcome;
@@ -112,6 +113,149 @@
     assertThat(servers.runs(), not(hasItem("bonds-1 read-1")));
   }
 
+  /** Guards against a refusal that keeps the caller waiting although no wait can help. */
+  @Order(20)
+  @Test
+  void refusesWriteWithoutServerInHomeRegionsAtOnce() {
+    fixture.restrictRoute(views, "route", Set.of("elsewhere"));
+    long startMillis = clock.millis();
+
+    RefusalException e =
+        assertThrows(RefusalException.class, () -> runner.run(request("write-1", true, LATEST)));
+
+    assertThat(e.code(), is(ResultCode.NO_SERVER_IN_HOME_REGION));
+    assertThat(clock.millis() - startMillis < LIMIT_MILLIS / 2, is(true));
+    assertThat(returnedTokens.get(), is(1));
+    assertThat(servers.commandCount(), is(0));
+  }
+
+  /**
+   * Guards against text that leaves its home regions when they change while a statement waits for a
+   * connection: neither the statement nor what prepares it may be sent.
+   */
+  @Order(21)
+  @Test
+  void sendsNothingOutsideHomeRegionsThatChangedWhileConnecting() throws Exception {
+    servers.delayConnections(300);
+    threads.add(
+        Thread.startVirtualThread(
+            () -> {
+              SessionFixture.pause(100);
+              fixture.restrictRoute(views, "route", Set.of("elsewhere"));
+            }));
+    Statement.Execute statement = new Statement.Execute("execute-1", "EXECUTE p 1", "p", "1");
+    SessionRunner.StatementRequest template = request(statement, LATEST);
+    SessionRunner.StatementRequest request =
+        new SessionRunner.StatementRequest(
+            template.operation(),
+            statement,
+            new PreparedStatement(true, "WRITE a"),
+            Map.of("value", "1"),
+            LogPosition.ZERO,
+            template.deadlineMillis());
+
+    RefusalException e = assertThrows(RefusalException.class, () -> runner.run(request));
+
+    assertThat(e.code(), is(ResultCode.NO_SERVER_IN_HOME_REGION));
+    assertThat(servers.commandCount(), is(0));
+  }
+
+  /** Guards against a transaction that is cut because the home regions of its route change. */
+  @Order(22)
+  @Test
+  void transactionKeepsHomeRegionsOfItsBeginning() throws Exception {
+    SessionRunner.StatementRequest begin =
+        request(new Statement.Begin("begin-1", "BEGIN", false), LATEST);
+    fixture.restrictRoute(views, "route", Set.of("elsewhere"));
+
+    SessionRunner.BegunTransaction transaction = runner.begin(begin);
+    ServerReply reply =
+        runner.runInTransaction(
+            transaction, request(new Statement.Commit("commit-1", "COMMIT"), LATEST));
+    transaction.checkout().close();
+
+    assertThat(reply.failure() == null, is(true));
+  }
+
+  /**
+   * Guards against statements that are counted when they are routed, not when they are sent: all of
+   * these are routed before the first one is sent.
+   */
+  @Order(23)
+  @Test
+  void sendsColdServerNoMoreThanItsShare() throws Exception {
+    fixture.limitColdServers(views, 1, 1);
+    servers.delayConnections(100);
+    for (int i = 0; i < 4; i++) {
+      String id = "write-" + i;
+      threads.add(
+          Thread.startVirtualThread(
+              () -> {
+                try {
+                  runner.run(request(id, true, LATEST));
+                } catch (RefusalException e) {
+                  // The share of this VM was used up.
+                }
+              }));
+    }
+    Thread.sleep(700);
+
+    assertThat(servers.runs().size(), is(1));
+  }
+
+  /** Guards against a write that fails although the next window begins before its deadline. */
+  @Order(24)
+  @Test
+  void writeWaitsForTheNextWindowOfAColdPrimary() throws Exception {
+    fixture.limitColdServers(views, 1, 1);
+    runner.run(request("write-1", true, LATEST));
+    long startMillis = clock.millis();
+
+    runner.run(request("write-2", true, LATEST));
+
+    assertThat(clock.millis() - startMillis > 900, is(true));
+    assertThat(servers.runs(), is(List.of("bonds-1 write-1", "bonds-1 write-2")));
+  }
+
+  /** Guards against a refusal that keeps the caller waiting although no wait can help. */
+  @Order(25)
+  @Test
+  void refusesWriteAtOnceIfTheNextWindowIsTooLate() throws Exception {
+    fixture.limitColdServers(views, 1, 1);
+    runner.run(request("write-1", true, LATEST));
+    long startMillis = clock.millis();
+
+    RefusalException e =
+        assertThrows(
+            RefusalException.class, () -> runner.run(request("write-2", true, LATEST, 900)));
+
+    assertThat(e.code(), is(ResultCode.OVERLOADED));
+    assertThat(clock.millis() - startMillis < 400, is(true));
+    assertThat(returnedTokens.get(), is(1));
+  }
+
+  /** Guards against statements of transactions, commits and rollbacks that are not counted. */
+  @Order(26)
+  @Test
+  void countsStatementsOfTransactions() throws Exception {
+    fixture.limitColdServers(views, 2, 1);
+    SessionRunner.BegunTransaction transaction =
+        runner.begin(request(new Statement.Begin("begin-1", "BEGIN", false), LATEST));
+    runner.runInTransaction(transaction, request("write-1", true, LATEST));
+
+    RefusalException e =
+        assertThrows(
+            RefusalException.class,
+            () ->
+                runner.runInTransaction(
+                    transaction, request(new Statement.Commit("commit-1", "COMMIT"), LATEST, 500)));
+    runner.rollBack(transaction, new Statement.Rollback("rollback-1", "ROLLBACK"));
+    Thread.sleep(200);
+
+    assertThat(e.code(), is(ResultCode.TRANSACTION_ABORTED));
+    assertThat(servers.runs(), is(List.of("bonds-1 begin-1", "bonds-1 write-1")));
+  }
+
   /**
    * Opening a connection can take so long that the required position, recent when the read was
    * routed, is too old when it is sent.
