Make the use of a server connection an interface

Cause: SessionRunner uses SessionPool.Checkout and PooledSession directly, so a connection that another VM holds cannot take their place.

The statements sent and their time limits are unchanged.

--- /dev/null
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/ConnectionDemand.java
@@ -0,0 +1,49 @@
+package org.cowslipdale.daemon.session;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Map;
+import org.cowslipdale.core.backend.BackendServer;
+import org.cowslipdale.core.statement.Statement.PreparedStatement;
+import org.cowslipdale.daemon.version.CurrentView;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A demand of a statement for a slot and a connection.
+ *
+ * @param server the server
+ * @param current the view and the lease of the VM
+ * @param customer the customer on whose behalf the connection is used
+ * @param priority the priority of the route
+ * @param values the values of the session, which do not change while the demand is in use
+ * @param prepared the prepared statement that is executed first on the connection, or null
+ * @param singleRead whether the connection is used for one statement that only reads
+ * @param relayable whether a gateway may hold the connection
+ * @param slotDeadlineMillis the time on the VM's monotonic clock until which to wait for a slot and
+ *     a permit
+ * @param deadlineMillis the time on the VM's monotonic clock by which a connection must be open
+ */
+public record ConnectionDemand(
+    BackendServer server,
+    CurrentView current,
+    String customer,
+    int priority,
+    Map<String, String> values,
+    @Nullable PreparedStatement prepared,
+    boolean singleRead,
+    boolean relayable,
+    long slotDeadlineMillis,
+    long deadlineMillis) {
+
+  /** Checks the required components. */
+  public ConnectionDemand {
+    requireNonNull(server, "server");
+    requireNonNull(current, "current");
+    requireNonNull(customer, "customer");
+    requireNonNull(values, "values");
+  }
+
+  String database() {
+    return server.announcement().database();
+  }
+}
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/Session.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/Session.java
@@ -303,7 +303,7 @@
     if (begunTransaction != null) {
       long limit = current.operation.route().statementLimitMillis();
       try {
-        begunTransaction.checkout().session().assign(assign.name(), assign.value(), limit);
+        begunTransaction.checkout().assign(assign.name(), assign.value(), limit);
       } catch (BackendException e) {
         current.abort();
         throw new RefusalException(ResultCode.TRANSACTION_ABORTED);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionContext.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionContext.java
@@ -36,7 +36,7 @@
     BackendRegistry registry,
     ServerHealth health,
     SessionRouter router,
-    SessionPools pools,
+    ConnectionSource pools,
     ReplicaLagTracker lagTracker,
     FleetPositions positions,
     ServerBackoff backoff,
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
@@ -9,6 +9,11 @@
 import org.cowslipdale.core.permit.PermitIssuer;
 import org.cowslipdale.core.result.RefusalException;
 import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.session.LogPosition;
+import org.cowslipdale.core.statement.ServerFailure;
+import org.cowslipdale.core.statement.ServerReply;
+import org.cowslipdale.core.statement.Statement;
+import org.cowslipdale.core.statement.Statement.PreparedStatement;
 import org.cowslipdale.daemon.connection.BackendException;
 import org.cowslipdale.daemon.connection.ServerRef;
 import org.cowslipdale.daemon.connection.TicketFuture;
@@ -106,7 +111,7 @@
         TicketFuture.wake(queue.release(0, clock.millis()));
       }
     }
-    return new Checkout(session, acquiredMillis);
+    return new PooledCheckout(session, acquiredMillis);
   }
 
   @Override
@@ -196,28 +201,54 @@
     permits.recordClosed(server.server());
   }
 
-  /**
-   * The exclusive use of a slot and a connection by one statement or transaction, until it is
-   * closed.
-   */
-  final class Checkout implements AutoCloseable {
+  /** A use of a connection of this pool. */
+  private final class PooledCheckout implements Checkout {
 
     private final PooledSession session;
     private final long acquiredMillis;
     private boolean clean;
     private boolean returned;
 
-    private Checkout(PooledSession session, long acquiredMillis) {
+    PooledCheckout(PooledSession session, long acquiredMillis) {
       this.session = session;
       this.acquiredMillis = acquiredMillis;
     }
 
-    PooledSession session() {
-      return session;
+    @Override
+    public void applyValues(Map<String, String> values, long timeoutMillis)
+        throws BackendException {
+      session.applyValues(values, timeoutMillis);
+    }
+
+    @Override
+    public void prepare(PreparedStatement prepared, long timeoutMillis) throws BackendException {
+      session.prepare(prepared, timeoutMillis);
     }
 
-    /** Marks the connection as reusable: it has no command outstanding and no transaction open. */
-    void markClean() {
+    @Override
+    public void assign(String name, String value, long timeoutMillis) throws BackendException {
+      session.assign(name, value, timeoutMillis);
+    }
+
+    @Override
+    public ServerReply execute(
+        Statement statement,
+        @Nullable PreparedStatement prepared,
+        @Nullable LogPosition after,
+        long timeoutMillis)
+        throws BackendException {
+      if (statement instanceof Statement.Execute execute && prepared != null) {
+        ServerReply reply = session.execute(execute, prepared, after, timeoutMillis);
+        if (reply.failure() == ServerFailure.NOT_PREPARED) {
+          session.clearPrepared();
+        }
+        return reply;
+      }
+      return session.execute(statement, after, timeoutMillis);
+    }
+
+    @Override
+    public void markClean() {
       clean = true;
     }
 
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
@@ -3,14 +3,12 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.Collection;
-import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import org.cowslipdale.core.backend.BackendServer;
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.permit.ConnectionShare;
 import org.cowslipdale.core.result.RefusalException;
-import org.cowslipdale.core.routing.ServerLoad;
 import org.cowslipdale.daemon.connection.BackendException;
 import org.cowslipdale.daemon.connection.ServerRef;
 import org.cowslipdale.daemon.version.CurrentView;
@@ -22,7 +20,7 @@
  * <p>The connections that a server accepts are shared equally among the VMs that serve callers. If
  * there are fewer connections than VMs, each connection requires a permit.
  */
-public final class SessionPools implements ServerLoad, AutoCloseable {
+public final class SessionPools implements ConnectionSource, AutoCloseable {
 
   private final SessionConnector connector;
   private final VmClock clock;
@@ -53,22 +51,17 @@
     this.permits = requireNonNull(permits, "permits");
   }
 
-  SessionPool.Checkout acquire(
-      BackendServer server,
-      CurrentView current,
-      String customer,
-      Map<String, String> values,
-      long slotDeadlineMillis,
-      long deadlineMillis)
-      throws RefusalException, BackendException {
-    return pool(server, current).acquire(customer, values, slotDeadlineMillis, deadlineMillis);
+  @Override
+  public Checkout acquire(ConnectionDemand demand) throws RefusalException, BackendException {
+    return pool(demand.server(), demand.current())
+        .acquire(
+            demand.customer(),
+            demand.values(),
+            demand.slotDeadlineMillis(),
+            demand.deadlineMillis());
   }
 
-  /**
-   * Closes the idle connections to a server.
-   *
-   * @param server the name of the server
-   */
+  @Override
   public void closeIdle(String server) {
     SessionPool pool = pools.get(server);
     if (pool != null) {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -114,6 +114,11 @@
       return !(statement instanceof Statement.Commit) && isWrite();
     }
 
+    /** Returns whether the statement only reads and does not begin a transaction. */
+    boolean isSingleRead() {
+      return !isWrite() && !(statement instanceof Statement.Begin);
+    }
+
     boolean isWrite() {
       return switch (statement) {
         case Statement.Access access -> access.write();
@@ -132,14 +137,13 @@
    * @param commitRequiresLease whether the transaction may have written and may be committed only
    *     under a lease
    */
-  record BegunTransaction(
-      SessionPool.Checkout checkout, RunOn target, boolean commitRequiresLease) {}
+  record BegunTransaction(Checkout checkout, RunOn target, boolean commitRequiresLease) {}
 
   /** Runs a single statement. */
   ServerReply run(StatementRequest request) throws RefusalException {
     return new RetryLoop<ServerReply>(request) {
       @Override
-      Optional<ServerReply> attempt(RunOn target, SessionPool.Checkout checkout)
+      Optional<ServerReply> attempt(RunOn target, Checkout checkout)
           throws RefusalException, BackendException {
         return runSingle(this, target, checkout);
       }
@@ -150,7 +154,7 @@
   BegunTransaction begin(StatementRequest request) throws RefusalException {
     return new RetryLoop<BegunTransaction>(request) {
       @Override
-      Optional<BegunTransaction> attempt(RunOn target, SessionPool.Checkout checkout)
+      Optional<BegunTransaction> attempt(RunOn target, Checkout checkout)
           throws RefusalException, BackendException {
         return beginOn(this, target, checkout);
       }
@@ -175,7 +179,7 @@
         throw new RefusalException(ResultCode.NO_LEASE);
       }
       long sentMillis = context.clock().millis();
-      ServerReply reply = execute(request, transaction.checkout().session(), null);
+      ServerReply reply = execute(request, transaction.checkout(), null);
       recordAnswer(request, transaction.target(), reply, sentMillis);
       boolean retry =
           reply.failure() == ServerFailure.BUSY && reply.state() == TransactionState.OPEN;
@@ -196,7 +200,7 @@
         () -> {
           try {
             ServerReply reply =
-                transaction.checkout().session().execute(statement, null, ROLLBACK_TIMEOUT_MILLIS);
+                transaction.checkout().execute(statement, null, null, ROLLBACK_TIMEOUT_MILLIS);
             if (reply.failure() == null && reply.state() == TransactionState.IDLE) {
               transaction.checkout().markClean();
             }
@@ -227,7 +231,7 @@
     }
 
     /** Runs the statement on one server; returns empty if it may be tried on another server. */
-    abstract Optional<T> attempt(RunOn target, SessionPool.Checkout checkout)
+    abstract Optional<T> attempt(RunOn target, Checkout checkout)
         throws RefusalException, BackendException;
 
     /**
@@ -263,23 +267,14 @@
     }
 
     private Optional<T> tryServer(RunOn target) throws RefusalException {
-      SessionPool.Checkout checkout;
+      Checkout checkout;
       long lastStartMillis = request.deadlineMillis() - MIN_RUN_MILLIS;
       long rerouteMillis =
           request.requiresPrimary()
               ? lastStartMillis
               : Math.min(lastStartMillis, context.clock().millis() + REROUTE_AFTER_MILLIS);
       try {
-        checkout =
-            context
-                .pools()
-                .acquire(
-                    target.server(),
-                    context.views().get(),
-                    request.operation().customer(),
-                    request.values(),
-                    rerouteMillis,
-                    lastStartMillis);
+        checkout = context.pools().acquire(createDemand(target, rerouteMillis, lastStartMillis));
       } catch (BackendException e) {
         handleConnectFailure(target, e);
         return Optional.empty();
@@ -298,7 +293,7 @@
       }
       boolean prepared = false;
       try {
-        prepareConnection(checkout.session());
+        prepareConnection(checkout);
         prepared = true;
         Optional<RunOn> confirmed = confirm(target.server());
         if (confirmed.isEmpty()) {
@@ -324,14 +319,29 @@
     }
 
     /** Sends the commands that the statement requires first on its connection. */
-    private void prepareConnection(PooledSession session) throws BackendException {
-      session.applyValues(request.values(), remainingMillis());
+    private void prepareConnection(Checkout checkout) throws BackendException {
+      checkout.applyValues(request.values(), remainingMillis());
       PreparedStatement prepared = request.prepared();
       if (prepared != null) {
-        session.prepare(prepared, remainingMillis());
+        checkout.prepare(prepared, remainingMillis());
       }
     }
 
+    private ConnectionDemand createDemand(
+        RunOn target, long slotDeadlineMillis, long deadlineMillis) {
+      return new ConnectionDemand(
+          target.server(),
+          context.views().get(),
+          request.operation().customer(),
+          request.operation().route().priority(),
+          request.values(),
+          request.prepared(),
+          request.isSingleRead(),
+          true,
+          slotDeadlineMillis,
+          deadlineMillis);
+    }
+
     private SessionTarget route() {
       CurrentView current = context.views().get();
       String database = request.operation().route().database();
@@ -467,12 +477,11 @@
     }
   }
 
-  private Optional<ServerReply> runSingle(
-      RetryLoop<?> retryLoop, RunOn target, SessionPool.Checkout checkout)
+  private Optional<ServerReply> runSingle(RetryLoop<?> retryLoop, RunOn target, Checkout checkout)
       throws RefusalException, BackendException {
     StatementRequest request = retryLoop.request;
     long sentMillis = context.clock().millis();
-    ServerReply reply = execute(request, checkout.session(), target.minPosition());
+    ServerReply reply = execute(request, checkout, target.minPosition());
     recordAnswer(request, target, reply, sentMillis);
     if (reply.state() == TransactionState.IDLE) {
       checkout.markClean();
@@ -515,11 +524,11 @@
   }
 
   private Optional<BegunTransaction> beginOn(
-      RetryLoop<?> retryLoop, RunOn target, SessionPool.Checkout checkout)
+      RetryLoop<?> retryLoop, RunOn target, Checkout checkout)
       throws RefusalException, BackendException {
     StatementRequest request = retryLoop.request;
     long sentMillis = context.clock().millis();
-    ServerReply reply = execute(request, checkout.session(), target.minPosition());
+    ServerReply reply = execute(request, checkout, target.minPosition());
     recordAnswer(request, target, reply, sentMillis);
     if (reply.failure() != null) {
       if (reply.state() == TransactionState.IDLE) {
@@ -550,17 +559,10 @@
   }
 
   private ServerReply execute(
-      StatementRequest request, PooledSession session, @Nullable LogPosition after)
+      StatementRequest request, Checkout checkout, @Nullable LogPosition after)
       throws BackendException {
     long timeout = Math.max(1, request.deadlineMillis() - context.clock().millis());
-    if (request.statement() instanceof Statement.Execute execute && request.prepared() != null) {
-      ServerReply reply = session.execute(execute, request.prepared(), after, timeout);
-      if (reply.failure() == ServerFailure.NOT_PREPARED) {
-        session.clearPrepared();
-      }
-      return reply;
-    }
-    return session.execute(request.statement(), after, timeout);
+    return checkout.execute(request.statement(), request.prepared(), after, timeout);
   }
 
   /** Records what a reply shows about the state of the server and its log. */
