Let a VM hold connections to servers for other VMs

Cause: a gateway must hold connections for VMs that may die, stop or fall silent, without a connection that stays open or returns to the pool with a transaction.

Change: messages acquire, read (acquire, run and release in one), run, await and release; GatewayService runs each on a virtual thread. A handle belongs to a peer connection and ends with it, after the idle limit of transactions, or when it is released. A connection returns to the pool only if the requester released it as clean and the latest reply left no transaction open. Nothing sends these messages yet, and no VM answers them.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlPlane.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/ControlPlane.java
@@ -50,6 +50,8 @@
 import org.cowslipdale.daemon.request.TransactionForwarder;
 import org.cowslipdale.daemon.request.TransactionStep;
 import org.cowslipdale.daemon.session.ConnectionPermits;
+import org.cowslipdale.daemon.session.GatewayHandler;
+import org.cowslipdale.daemon.session.GatewayLink;
 import org.cowslipdale.daemon.storage.ControlStore;
 import org.cowslipdale.daemon.telemetry.DecisionLog;
 import org.cowslipdale.daemon.telemetry.LogEvent;
@@ -92,6 +94,8 @@
   private final TransactionForwarder transactionForwarder;
   private final @Nullable Voter voter;
   private final AtomicInteger forwardedSteps = new AtomicInteger();
+  private final MessageHandler messages = new MessageHandler();
+  private volatile @Nullable GatewayHandler gatewayHandler;
   private volatile Function<TransactionStep, Reply> transactionStepHandler =
       step -> new Reply(ResultCode.SHUTTING_DOWN.httpStatus(), "{}", null);
 
@@ -171,7 +175,7 @@
                 clock,
                 link::send,
                 onStorageFailure);
-    link.setLocalHandler(this::handleMessage);
+    link.setLocalHandler(messages);
   }
 
   /**
@@ -183,7 +187,7 @@
   public Future<Void> start(Function<TransactionStep, Reply> stepHandler) {
     transactionStepHandler = stepHandler;
     return network
-        .listen(settings.listen().peers(), this::handleMessage)
+        .listen(settings.listen().peers(), messages)
         .onSuccess(ignored -> startPeriodicTasks());
   }
 
@@ -207,6 +211,20 @@
     return permits;
   }
 
+  /** Returns the link to the gateways that hold connections to servers for this VM. */
+  public GatewayLink gatewayLink() {
+    return new PeerGatewayLink(link);
+  }
+
+  /**
+   * Makes this VM a gateway of other VMs. Without a handler, their requests are not answered.
+   *
+   * @param handler handles their requests
+   */
+  public void setGatewayHandler(GatewayHandler handler) {
+    gatewayHandler = handler;
+  }
+
   /** Returns the claims on request ids, which hold across all VMs. */
   public RequestClaims requestClaims() {
     return requestClaims;
@@ -361,7 +379,35 @@
     permits.tick();
   }
 
+  /** Passes messages of other VMs to the components that handle them. */
+  private final class MessageHandler implements PeerHandler {
+
+    @Override
+    public void handle(String sender, PeerMessage message, ReplyChannel reply) {
+      handleMessage(sender, message, reply);
+    }
+
+    @Override
+    public void handleDisconnect(long connectionId) {
+      GatewayHandler handler = gatewayHandler;
+      if (handler != null) {
+        handler.handleDisconnect(connectionId);
+      }
+    }
+  }
+
   private void handleMessage(String from, PeerMessage message, PeerHandler.ReplyChannel reply) {
+    if (message instanceof PeerMessage.GatewayCall call) {
+      GatewayHandler handler = gatewayHandler;
+      if (handler != null) {
+        handler.handle(
+            from,
+            reply.connectionId(),
+            call.request(),
+            answer -> reply.send(new PeerMessage.GatewayAnswer(answer)));
+      }
+      return;
+    }
     if (message instanceof PeerMessage.ForwardRequest forward) {
       forwardedSteps.incrementAndGet();
       Thread.startVirtualThread(() -> runForwardedStep(forward, reply));
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/FrameCodec.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/FrameCodec.java
@@ -15,6 +15,9 @@
 import org.cowslipdale.core.claim.ClaimReply;
 import org.cowslipdale.core.consensus.ConsensusMessage;
 import org.cowslipdale.core.consensus.LogEntry;
+import org.cowslipdale.core.gateway.GatewayReply;
+import org.cowslipdale.core.gateway.GatewayRequest;
+import org.cowslipdale.core.statement.Statement;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -36,7 +39,13 @@
   private static final int LENGTH_BYTES = 4;
   private static final ObjectMapper CODEC =
       Codecs.compactMessagePack(
-          PeerMessage.class, ConsensusMessage.class, LogEntry.Payload.class, ClaimReply.class);
+          PeerMessage.class,
+          ConsensusMessage.class,
+          LogEntry.Payload.class,
+          ClaimReply.class,
+          GatewayRequest.class,
+          GatewayReply.class,
+          Statement.class);
 
   private static final Logger LOG = LoggerFactory.getLogger(FrameCodec.class);
 
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerHandler.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerHandler.java
@@ -14,6 +14,14 @@
    */
   void handle(String sender, PeerMessage message, ReplyChannel reply);
 
+  /**
+   * Handles the end of a connection over which another VM sent messages. No message that arrived
+   * over it is handled later.
+   *
+   * @param connectionId the {@link ReplyChannel#connectionId} of its messages
+   */
+  default void handleDisconnect(long connectionId) {}
+
   /** Sends the reply to a message. */
   interface ReplyChannel {
 
@@ -24,5 +32,10 @@
      * @return completes once the reply has been written, or exceptionally if it cannot be
      */
     CompletionStage<Void> send(PeerMessage message);
+
+    /** Returns the id of the connection over which the message arrived, unique in this VM. */
+    default long connectionId() {
+      return 0;
+    }
   }
 }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerMessage.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerMessage.java
@@ -8,6 +8,8 @@
 import org.cowslipdale.core.consensus.ConsensusMessage;
 import org.cowslipdale.core.control.ChangeRecord;
 import org.cowslipdale.core.failover.PrimaryTerm;
+import org.cowslipdale.core.gateway.GatewayReply;
+import org.cowslipdale.core.gateway.GatewayRequest;
 import org.cowslipdale.core.permit.PermitDemand;
 import org.cowslipdale.core.permit.PermitReport;
 import org.cowslipdale.core.quota.TokenDemand;
@@ -288,4 +290,18 @@
       List<String> leaseHolders,
       List<ChangeRecord> history)
       implements PeerMessage {}
+
+  /**
+   * Carries a request to the gateway that holds connections to servers for the sender.
+   *
+   * @param request the request
+   */
+  record GatewayCall(GatewayRequest request) implements PeerMessage {}
+
+  /**
+   * Answers a request to a gateway.
+   *
+   * @param reply the reply
+   */
+  record GatewayAnswer(GatewayReply reply) implements PeerMessage {}
 }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerNetwork.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/peer/PeerNetwork.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
@@ -43,6 +44,7 @@
   private final Function<String, Optional<String>> addressLookup;
   private final PeerTraffic traffic;
   private final Map<String, PeerConnection> connections = new ConcurrentHashMap<>();
+  private final AtomicLong lastConnectionId = new AtomicLong();
   private volatile PeerHandler handler = (from, message, reply) -> {};
   private final NetServer server;
 
@@ -154,6 +156,7 @@
   private final class AcceptedConnection {
 
     private final NetSocket socket;
+    private final long id = lastConnectionId.incrementAndGet();
     private long lastReceivedMillis;
 
     /** The name of the VM that opened the connection; empty until it is authenticated. */
@@ -168,7 +171,11 @@
       socket.exceptionHandler(e -> socket.close());
       socket.handler(FrameCodec.parser(this::handlePayload, socket::close));
       long timer = vertx.setPeriodic(PeerConnection.HEARTBEAT_INTERVAL_MILLIS, id -> closeIfIdle());
-      socket.closeHandler(ignored -> vertx.cancelTimer(timer));
+      socket.closeHandler(
+          ignored -> {
+            vertx.cancelTimer(timer);
+            handler.handleDisconnect(id);
+          });
     }
 
     private void closeIfIdle() {
@@ -191,7 +198,7 @@
         } else if (sender.isEmpty()) {
           socket.close();
         } else {
-          handler.handle(sender, frame.message(), message -> reply(frame, message));
+          handler.handle(sender, frame.message(), new FrameReplyChannel(this, frame));
         }
       } catch (IOException e) {
         LOG.warn("closing a peer connection: a message cannot be decoded: {}", e.getMessage());
@@ -222,6 +229,21 @@
     }
   }
 
+  /** Sends the reply to one frame over the connection on which the frame arrived. */
+  private record FrameReplyChannel(AcceptedConnection connection, PeerFrame request)
+      implements PeerHandler.ReplyChannel {
+
+    @Override
+    public CompletionStage<Void> send(PeerMessage message) {
+      return connection.reply(request, message);
+    }
+
+    @Override
+    public long connectionId() {
+      return connection.id;
+    }
+  }
+
   /**
    * Creates the proof that this VM knows the cluster secret. Without a secret the network is
    * trusted and the proof is empty.
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/ConnectionDemand.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/ConnectionDemand.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.Map;
+import java.util.Set;
 import org.cowslipdale.core.backend.BackendServer;
 import org.cowslipdale.core.statement.Statement.PreparedStatement;
 import org.cowslipdale.daemon.version.CurrentView;
@@ -15,6 +16,8 @@
  * @param current the view and the lease of the VM
  * @param customer the customer on whose behalf the connection is used
  * @param priority the priority of the route
+ * @param homeRegions the regions in which the data of the statement may be handled; empty if it is
+ *     not restricted
  * @param values the values of the session, which do not change while the demand is in use
  * @param prepared the prepared statement that is executed first on the connection, or null
  * @param singleRead whether the connection is used for one statement that only reads
@@ -28,6 +31,7 @@
     CurrentView current,
     String customer,
     int priority,
+    Set<String> homeRegions,
     Map<String, String> values,
     @Nullable PreparedStatement prepared,
     boolean singleRead,
@@ -35,11 +39,12 @@
     long slotDeadlineMillis,
     long deadlineMillis) {
 
-  /** Checks the required components. */
+  /** Copies the regions and checks the required components. */
   public ConnectionDemand {
     requireNonNull(server, "server");
     requireNonNull(current, "current");
     requireNonNull(customer, "customer");
+    homeRegions = Set.copyOf(homeRegions);
     requireNonNull(values, "values");
   }
 
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -334,6 +334,7 @@
           context.views().get(),
           request.operation().customer(),
           request.operation().route().priority(),
+          Set.of(),
           request.values(),
           request.prepared(),
           request.isSingleRead(),
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/FakeServers.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/FakeServers.java
@@ -8,9 +8,12 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.statement.ServerCommand;
 import org.cowslipdale.core.statement.ServerReply;
+import org.cowslipdale.core.statement.Statement;
 import org.cowslipdale.core.statement.TransactionState;
 import org.cowslipdale.daemon.connection.BackendException;
 import org.cowslipdale.daemon.connection.ServerRef;
@@ -23,6 +26,10 @@
 
   private final Map<String, CountDownLatch> answerLatches = new ConcurrentHashMap<>();
   private final Queue<String> runs = new ConcurrentLinkedQueue<>();
+  private final Queue<String> commands = new ConcurrentLinkedQueue<>();
+  private final AtomicInteger openedConnections = new AtomicInteger();
+  private final AtomicInteger openConnections = new AtomicInteger();
+  private final AtomicInteger rollbacks = new AtomicInteger();
   private volatile long connectDelayMillis;
   private volatile long statementDelayMillis;
   private volatile boolean breakOnPrepare;
@@ -60,6 +67,29 @@
     return List.copyOf(runs);
   }
 
+  /**
+   * Returns the commands other than statements that were executed, each as the name of the server
+   * and the command.
+   */
+  List<String> commands() {
+    return List.copyOf(commands);
+  }
+
+  /** Returns the number of connections that were opened so far. */
+  int openedConnections() {
+    return openedConnections.get();
+  }
+
+  /** Returns the number of connections that are open. */
+  int openConnections() {
+    return openConnections.get();
+  }
+
+  /** Returns how many transactions were rolled back because their connection was closed. */
+  int rollbacks() {
+    return rollbacks.get();
+  }
+
   @Override
   public ServerConnection connect(ServerRef server, String customer, long timeoutMillis)
       throws BackendException {
@@ -67,6 +97,8 @@
     if (failOnConnect) {
       throw new IllegalStateException("unexpected");
     }
+    openedConnections.incrementAndGet();
+    openConnections.incrementAndGet();
     return new Connection(server.server());
   }
 
@@ -83,6 +115,8 @@
 
     private final String server;
     private volatile boolean usable = true;
+    private final AtomicBoolean closed = new AtomicBoolean();
+    private volatile TransactionState state = TransactionState.IDLE;
 
     Connection(String server) {
       this.server = server;
@@ -98,9 +132,20 @@
         pause(statementDelayMillis);
         runs.add(server + " " + run.statement().id());
         awaitRelease(run.statement().id(), timeoutMillis);
+        state = nextState(run.statement());
+      } else {
+        commands.add(server + " " + command);
       }
-      return new ServerReply(
-          List.of("row"), "signed", null, TransactionState.IDLE, new LogPosition(1, 7));
+      return new ServerReply(List.of("row"), "signed", null, state, new LogPosition(1, 7));
+    }
+
+    private TransactionState nextState(Statement statement) {
+      return switch (statement) {
+        case Statement.Begin begin -> TransactionState.OPEN;
+        case Statement.Commit commit -> TransactionState.IDLE;
+        case Statement.Rollback rollback -> TransactionState.IDLE;
+        default -> state;
+      };
     }
 
     private void awaitRelease(String id, long timeoutMillis) throws BackendException {
@@ -124,6 +169,12 @@
     @Override
     public void close() {
       usable = false;
+      if (closed.compareAndSet(false, true)) {
+        openConnections.decrementAndGet();
+        if (state != TransactionState.IDLE) {
+          rollbacks.incrementAndGet();
+        }
+      }
     }
   }
 }
--- /dev/null
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/GatewayFixture.java
@@ -0,0 +1,189 @@
+package org.cowslipdale.daemon.session;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
+import org.cowslipdale.core.backend.Announcement;
+import org.cowslipdale.core.backend.BackendRegistry;
+import org.cowslipdale.core.backend.BackendServer;
+import org.cowslipdale.core.backend.ServerHealth;
+import org.cowslipdale.core.backend.ServerRole;
+import org.cowslipdale.core.permit.HeldPermits;
+import org.cowslipdale.core.placement.Gateways;
+import org.cowslipdale.core.session.LogPosition;
+import org.cowslipdale.core.view.Configuration;
+import org.cowslipdale.core.view.Database;
+import org.cowslipdale.core.view.DeclaredDocument;
+import org.cowslipdale.core.view.View;
+import org.cowslipdale.core.view.ViewCommand;
+import org.cowslipdale.core.view.VmRecord;
+import org.cowslipdale.daemon.version.ViewHolder;
+import org.cowslipdale.daemon.version.VmClock;
+
+/**
+ * The VMs {@code vm1}, {@code vm2} and {@code vm3} of one failure domain with their own pools, in
+ * front of two in-process servers of the database {@code bonds}: the primary {@code bonds-1} and
+ * the replica {@code bonds-2}. Each VM may open two connections to a server, so that it needs
+ * gateways.
+ */
+final class GatewayFixture implements AutoCloseable {
+
+  static final int SHARE = 2;
+
+  private static final int VMS = 3;
+  private static final int RESERVED_CONNECTIONS = 2;
+  private static final long TRANSACTION_IDLE_MILLIS = 600;
+
+  private final VmClock clock = new VmClock();
+  private final BackendRegistry registry = new BackendRegistry(60_000);
+  private final FakeServers servers = new FakeServers();
+  private final ViewHolder views = new ViewHolder(clock.millis());
+  private final Map<String, Vm> vms = new LinkedHashMap<>();
+  private final Thread ticker = Thread.startVirtualThread(this::tick);
+
+  /** The pools of one VM and its service as a gateway. */
+  record Vm(String name, SessionPools pools, GatewayService service) {}
+
+  GatewayFixture() {
+    views.publish(view(), clock.millis() + 60_000, VMS);
+    announce("bonds-1", ServerRole.PRIMARY);
+    announce("bonds-2", ServerRole.REPLICA);
+    IntStream.rangeClosed(1, VMS).mapToObj(i -> "vm" + i).forEach(this::addVm);
+  }
+
+  VmClock clock() {
+    return clock;
+  }
+
+  BackendRegistry registry() {
+    return registry;
+  }
+
+  FakeServers servers() {
+    return servers;
+  }
+
+  ViewHolder views() {
+    return views;
+  }
+
+  Vm vm(String name) {
+    return vms.get(name);
+  }
+
+  BackendServer server(String name) {
+    return registry.group("bonds").server(name).orElseThrow();
+  }
+
+  /** Returns a customer whose gateway and fallback are the given VMs. */
+  String customerOf(String gateway, String fallback) {
+    for (int i = 0; ; i++) {
+      Gateways.Key key = new Gateways.Key("customer-" + i, "bonds", "a");
+      List<String> candidates =
+          Gateways.candidates(key, views.get().view().vms().values()).stream()
+              .map(VmRecord::name)
+              .toList();
+      if (candidates.equals(List.of(gateway, fallback))) {
+        return key.customer();
+      }
+    }
+  }
+
+  /** Waits until a condition holds, for a few seconds at most; returns whether it holds. */
+  static boolean await(BooleanSupplier condition) {
+    for (int i = 0; i < 1_000 && !condition.getAsBoolean(); i++) {
+      SessionFixture.pause(5);
+    }
+    return condition.getAsBoolean();
+  }
+
+  @Override
+  public void close() {
+    ticker.interrupt();
+    try {
+      ticker.join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    vms.values().forEach(vm -> vm.pools().close());
+  }
+
+  private void addVm(String name) {
+    SessionPools pools =
+        new SessionPools(servers, clock, 1_000, new ServerHealth(), new ShareOnlyPermits());
+    vms.put(name, new Vm(name, pools, new GatewayService(pools, views, registry, clock)));
+  }
+
+  private void tick() {
+    while (!Thread.currentThread().isInterrupted()) {
+      vms.values()
+          .forEach(
+              vm -> {
+                vm.pools().tick(clock.millis());
+                vm.service().tick(clock.millis());
+              });
+      SessionFixture.pause(10);
+    }
+  }
+
+  private void announce(String server, ServerRole role) {
+    registry.addAnnouncement(
+        new Announcement(
+            "bonds", server, "address", "a", "r", role, LogPosition.ZERO, 0, 5, 30, false, 1, 1),
+        0,
+        clock.millis());
+  }
+
+  private static View view() {
+    Configuration configuration =
+        new Configuration(
+            Map.of(),
+            Map.of(),
+            Map.of(),
+            Map.of("bonds", new Database("bonds", 2, SHARE * VMS + RESERVED_CONNECTIONS, 0)),
+            Map.of(),
+            TRANSACTION_IDLE_MILLIS);
+    View view =
+        View.EMPTY
+            .apply(
+                new ViewCommand.ReplaceConfiguration(
+                    new DeclaredDocument(1, "{}"), configuration, List.of()))
+            .view();
+    for (int i = 1; i <= VMS; i++) {
+      VmRecord vm = new VmRecord("vm" + i, "a", "r", "address" + i, 0, Long.MAX_VALUE, true);
+      view = view.apply(new ViewCommand.RegisterVm(vm, 0)).view();
+    }
+    return view.apply(new ViewCommand.BeginTerm("bonds", 1))
+        .view()
+        .apply(new ViewCommand.CompleteTerm("bonds", 1, "bonds-1", 0))
+        .view();
+  }
+
+  /** Permits of a VM that may open its share of connections to every server and no more. */
+  private static final class ShareOnlyPermits implements ConnectionPermits {
+
+    private final HeldPermits permits = new HeldPermits(1);
+
+    @Override
+    public boolean tryUse(String server, int share) {
+      return permits.tryUse(server, share);
+    }
+
+    @Override
+    public void recordClosed(String server) {
+      permits.recordClosed(server);
+    }
+
+    @Override
+    public boolean mustClose(String server, int share) {
+      return permits.isExceeded(server, share);
+    }
+
+    @Override
+    public void requestPermit(String server, int capacity) {
+      SessionFixture.pause(10);
+    }
+  }
+}
