Run statements on the connections of their customer's gateway

Cause: a VM with less than one connection to a server opens a new one for most requests, which costs a slot for 12 ms and a permit of the control leader.

A write or commit without an answer is unknown; a read or begin is repeated. A read that may have reached the server after its position became too old is discarded and repeated. A stopping gateway waits for open handles as for its own sessions. Without the feature SessionPools is used as before.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/gateway/GatewayRequest.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/gateway/GatewayRequest.java
@@ -81,8 +81,8 @@
       implements GatewayRequest {}
 
   /**
-   * Requests the result of an {@link Acquire} or {@link Read} that was answered with {@link
-   * GatewayReply.Pending}.
+   * Requests the result of a request that was answered with {@link GatewayReply.Pending}: an {@link
+   * Acquire}, a {@link Read}, or a {@link Run} that begins a transaction.
    *
    * @param handle the number of the handle
    */
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
@@ -29,7 +29,7 @@
    * The time within which a statement is assumed to reach its server: the minimum TCP
    * retransmission timeout on Linux (200 ms) plus a one-way delay between regions.
    */
-  private static final long TRANSIT_MILLIS = 250;
+  static final long TRANSIT_MILLIS = 250;
 
   /**
    * How long a leaving primary still gets statements while its successor is promoted. Shorter than
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/BackendException.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/connection/BackendException.java
@@ -7,7 +7,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** Thrown when a backend server refuses a connection or gives no usable answer. */
-public final class BackendException extends CowslipException {
+public class BackendException extends CowslipException {
 
   private final boolean mayHaveReachedServer;
   private final @Nullable ServerFailure failure;
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.cowslipdale.config.settings.DaemonSettings;
+import org.cowslipdale.config.settings.Feature;
 import org.cowslipdale.core.backend.BackendRegistry;
 import org.cowslipdale.core.backend.ServerBackoff;
 import org.cowslipdale.core.backend.ServerHealth;
@@ -26,6 +27,9 @@
 import org.cowslipdale.daemon.control.ControlPlane;
 import org.cowslipdale.daemon.request.Reply;
 import org.cowslipdale.daemon.request.TransactionStep;
+import org.cowslipdale.daemon.session.ConnectionSource;
+import org.cowslipdale.daemon.session.GatewayConnections;
+import org.cowslipdale.daemon.session.GatewayService;
 import org.cowslipdale.daemon.session.PrimaryChecker;
 import org.cowslipdale.daemon.session.SessionConnector;
 import org.cowslipdale.daemon.session.SessionContext;
@@ -54,6 +58,7 @@
   private final SessionConnector connector;
   private @Nullable SessionPools pools;
   private @Nullable SessionServer sessionServer;
+  private @Nullable GatewayService gatewayService;
   private List<Endpoint> endpoints = List.of();
   private long nextCleanUpMillis;
 
@@ -95,6 +100,11 @@
             health,
             control.connectionPermits(server -> pools().closeIdle(server)));
     pools = sessionPools;
+    Set<Feature> features = adapter.features(settings);
+    ConnectionSource connections =
+        features.contains(Feature.CONNECTION_GATEWAYS)
+            ? createGatewayConnections(control, sessionPools)
+            : sessionPools;
     ReplicaLagTracker lagTracker = new ReplicaLagTracker();
     ServerBackoff backoff = new ServerBackoff(new Random());
     SessionContext context =
@@ -106,18 +116,18 @@
                 settings.vm().name(),
                 settings.vm().failureDomain(),
                 settings.vm().region(),
-                sessionPools,
+                connections,
                 lagTracker,
                 backoff,
                 settings.writeFencing()),
-            sessionPools,
+            connections,
             lagTracker,
             control.positions(),
             backoff,
             trafficMonitor,
             control.rateLimiter(),
             clock,
-            adapter.features(settings));
+            features);
     PrimaryChecker checker =
         new PrimaryChecker(views, registry, connector, trafficMonitor, clock, control::renewLease);
     SessionServer server = new SessionServer(context, checker);
@@ -132,6 +142,20 @@
         adapter.endpoints(vertx, settings, new DaemonServices(server, control, readiness::isReady));
   }
 
+  /** Makes this VM a gateway of other VMs, and returns connections that use gateways. */
+  private GatewayConnections createGatewayConnections(
+      ControlPlane control, SessionPools sessionPools) {
+    GatewayService service = new GatewayService(sessionPools, views, registry, clock);
+    gatewayService = service;
+    control.setGatewayHandler(service);
+    return new GatewayConnections(
+        settings.vm().name(),
+        settings.vm().failureDomain(),
+        sessionPools,
+        control.gatewayLink(),
+        clock);
+  }
+
   @Override
   public Reply runTransactionStep(TransactionStep step) {
     return new Reply(ResultCode.TRANSACTION_NOT_FOUND.httpStatus(), "{}", null);
@@ -147,6 +171,9 @@
   @Override
   public void tick(long now) {
     pools().tick(now);
+    if (gatewayService != null) {
+      gatewayService.tick(now);
+    }
     if (now >= nextCleanUpMillis) {
       nextCleanUpMillis = now + CLEAN_UP_INTERVAL_MILLIS;
       if (!readiness.canServe()) {
@@ -164,11 +191,17 @@
   @Override
   public void drain() {
     sessionServer().drain();
+    if (gatewayService != null) {
+      gatewayService.drain();
+    }
   }
 
   @Override
   public void endTransactions() {
     sessionServer().abortTransactions();
+    if (gatewayService != null) {
+      gatewayService.endTransactions();
+    }
   }
 
   @Override
@@ -178,7 +211,7 @@
 
   @Override
   public boolean isBusy() {
-    return sessionServer().openCount() > 0;
+    return sessionServer().openCount() > 0 || (gatewayService != null && gatewayService.isBusy());
   }
 
   @Override
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/Checkout.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/Checkout.java
@@ -1,6 +1,7 @@
 package org.cowslipdale.daemon.session;
 
 import java.util.Map;
+import java.util.Optional;
 import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.statement.ServerReply;
 import org.cowslipdale.core.statement.Statement;
@@ -63,6 +64,14 @@
   /** Marks the connection as reusable: it has no command outstanding and no transaction open. */
   void markClean();
 
+  /** Returns how long the latest statement took if a gateway holds the connection. */
+  default Optional<RelayTiming> relayTiming() {
+    return Optional.empty();
+  }
+
+  /** Records that the answer to the latest statement is not used. */
+  default void markDiscarded() {}
+
   /** Ends the use; has no effect if it has already ended. */
   @Override
   void close();
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/ConnectionSource.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/ConnectionSource.java
@@ -5,7 +5,8 @@
 import org.cowslipdale.daemon.connection.BackendException;
 
 /** Provides the connections on which the statements of sessions run. */
-public sealed interface ConnectionSource extends ServerLoad permits SessionPools {
+public sealed interface ConnectionSource extends ServerLoad
+    permits SessionPools, GatewayConnections {
 
   /**
    * Waits for a slot and a connection; blocks the calling (virtual) thread.
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/GatewayService.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/GatewayService.java
@@ -107,7 +107,11 @@
           send(replies, new GatewayReply.HandleLost());
         } else {
           start(handle, active -> run(active, run, receivedMillis));
-          reply(replies, handle.result);
+          if (run.statement() instanceof Statement.Begin) {
+            replyOrPending(replies, handle);
+          } else {
+            reply(replies, handle.result);
+          }
         }
       }
       case GatewayRequest.Await await -> {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/Session.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/Session.java
@@ -268,7 +268,9 @@
       reply = runner.runInTransaction(begunTransaction, request);
     } catch (BackendException e) {
       begunTransaction.checkout().close();
-      throw new RefusalException(ResultCode.OUTCOME_UNKNOWN);
+      boolean notSent = e instanceof RelayException && !e.mayHaveReachedServer();
+      throw new RefusalException(
+          notSent ? ResultCode.TRANSACTION_ABORTED : ResultCode.OUTCOME_UNKNOWN);
     } catch (RefusalException e) {
       begunTransaction.checkout().close();
       throw e.code().outcome() == Outcome.UNKNOWN
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
@@ -122,7 +122,7 @@
   private SessionPool pool(BackendServer server, CurrentView current) {
     ServerRef required = ServerRef.of(server.announcement());
     int limit = connectionLimit(server, current);
-    int share = ConnectionShare.of(limit, current.callerVms());
+    int share = share(server, current);
     int capacity = ConnectionShare.capacity(limit);
     SessionPool existing = pools.get(required.server());
     if (existing != null && existing.server().equals(required)) {
@@ -142,6 +142,11 @@
         });
   }
 
+  /** Returns the number of connections to a server that this VM may open without permits. */
+  static int share(BackendServer server, CurrentView current) {
+    return ConnectionShare.of(connectionLimit(server, current), current.callerVms());
+  }
+
   private static int connectionLimit(BackendServer server, CurrentView current) {
     var declared = current.view().configuration().databases().get(server.announcement().database());
     return declared == null || declared.connectionLimit() == 0
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -12,6 +12,7 @@
 import org.cowslipdale.core.result.RefusalException;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.routing.PositionSample;
+import org.cowslipdale.core.routing.RelayedReads;
 import org.cowslipdale.core.routing.SessionDemand;
 import org.cowslipdale.core.routing.SessionTarget;
 import org.cowslipdale.core.routing.SessionTarget.RunOn;
@@ -67,6 +68,9 @@
    */
   private static final long MIN_UNANSWERED_MILLIS = 400;
 
+  /** The number of failures of gateways after which a statement uses this VM's connections. */
+  private static final int MAX_RELAY_FAILURES = 2;
+
   /** The timeout for the reply to a rollback, after which the connection is closed. */
   private static final long ROLLBACK_TIMEOUT_MILLIS = 1_000;
 
@@ -224,6 +228,8 @@
     private ResultCode lastFailureCode = ResultCode.WAIT_LIMIT_REACHED;
     private boolean sent;
     private boolean serverBusy;
+    private boolean serverAtFault = true;
+    private int relayFailures;
 
     RetryLoop(StatementRequest request) {
       this.request = request;
@@ -292,6 +298,7 @@
         throw new RefusalException(ResultCode.WAIT_LIMIT_REACHED);
       }
       boolean prepared = false;
+      boolean sentBefore = sent;
       try {
         prepareConnection(checkout);
         prepared = true;
@@ -307,8 +314,18 @@
         }
         sent = true;
         return attempt(confirmed.get(), checkout);
+      } catch (RelayException e) {
+        checkout.close();
+        sent = sentBefore || e.mayHaveReachedServer();
+        handleRelayFailure(target, e);
+        return Optional.empty();
       } catch (BackendException e) {
         checkout.close();
+        if (e.failure().isPresent()) {
+          sent = sentBefore;
+          handleConnectFailure(target, e);
+          return Optional.empty();
+        }
         handleBrokenConnection(
             target, e, prepared && e.mayHaveReachedServer(), context.clock().millis() - sentMillis);
         return Optional.empty();
@@ -338,7 +355,7 @@
           request.values(),
           request.prepared(),
           request.isSingleRead(),
-          true,
+          relayFailures < MAX_RELAY_FAILURES,
           slotDeadlineMillis,
           deadlineMillis);
     }
@@ -432,14 +449,50 @@
       }
     }
 
+    /**
+     * Handles a statement that a gateway did not run or did not answer, which shows nothing about
+     * the server.
+     */
+    private void handleRelayFailure(RunOn target, RelayException e) throws RefusalException {
+      logLine(LogEvent.RELAY_FAILED, request, target)
+          .with("sent", e.mayHaveReachedServer())
+          .with("reason", e.getCause())
+          .write();
+      if (e.mayHaveReachedServer()
+          && request.isWrite()
+          && !(request.statement() instanceof Statement.Begin)) {
+        throw new RefusalException(ResultCode.OUTCOME_UNKNOWN);
+      }
+      lastFailureCode = e.refusal().orElse(ResultCode.WAIT_LIMIT_REACHED);
+      if (e.refusal().isPresent() && request.requiresPrimary()) {
+        throw new RefusalException(lastFailureCode);
+      }
+      if (context.clock().millis() >= request.deadlineMillis() - ANSWER_MARGIN_MILLIS) {
+        throw new RefusalException(
+            e.mayHaveReachedServer()
+                ? ResultCode.STATEMENT_TIMED_OUT
+                : ResultCode.WAIT_LIMIT_REACHED);
+      }
+      if (e.refusal().isEmpty()) {
+        repeatOnSameServer();
+      }
+    }
+
+    /** Lets the next attempt choose the same server, because the gateway was at fault. */
+    private void repeatOnSameServer() {
+      relayFailures++;
+      serverAtFault = false;
+    }
+
     /**
      * Excludes a server that rejected the statement from the next attempts, and waits first if the
      * statement writes or depends on the lease. A busy server needs no exclusion, because the
      * router avoids it until its backoff has ended.
      */
     private void handleRejection(RunOn target) throws RefusalException {
-      if (serverBusy) {
+      if (serverBusy || !serverAtFault) {
         serverBusy = false;
+        serverAtFault = true;
         return;
       }
       triedServers.add(target.server().name());
@@ -489,12 +542,20 @@
     }
     checkout.close();
     if (reply.failure() == null) {
+      if (!isRecentEnough(request, target, checkout, sentMillis)) {
+        checkout.markDiscarded();
+        retryLoop.lastFailureCode = ResultCode.NO_FRESH_SERVER;
+        retryLoop.repeatOnSameServer();
+        return Optional.empty();
+      }
       if (DecisionLog.isSampled(request.statement().id())) {
         logLine(LogEvent.STATEMENT_DONE, request, target)
             .with("waited_ms", sentMillis - retryLoop.startedMillis)
             .with("server_ms", context.clock().millis() - sentMillis)
             .with("known_ago_ms", sentMillis - target.completeUntilMillis())
             .with("position", reply.position())
+            .with("gateway", checkout.relayTiming().map(RelayTiming::gateway).orElse(null))
+            .with("gateway_ms", checkout.relayTiming().map(RelayTiming::relayMillis).orElse(null))
             .write();
       }
       if (target.leaseRequired() && request.isWrite()) {
@@ -507,6 +568,22 @@
     return handleFailure(retryLoop, target, reply.failure());
   }
 
+  /** Returns whether a read that a gateway sent reached its server early enough. */
+  private static boolean isRecentEnough(
+      StatementRequest request, RunOn target, Checkout checkout, long sentMillis) {
+    return checkout
+        .relayTiming()
+        .map(
+            timing ->
+                RelayedReads.isRecentEnough(
+                    target,
+                    request.operation().route().freshness(),
+                    sentMillis,
+                    timing.elapsedMillis(),
+                    timing.serverMillis()))
+        .orElse(true);
+  }
+
   /**
    * Returns empty if a statement that failed on one server may be tried on another, and throws
    * otherwise.
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/telemetry/LogEvent.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/telemetry/LogEvent.java
@@ -22,6 +22,10 @@
   SERVER_UNREACHABLE("server-unreachable"),
   /** A connection to a server failed or timed out while a statement was in progress. */
   SERVER_CONNECTION_BROKEN("server-connection-broken"),
+  /** A gateway did not run a statement, which is repeated elsewhere or whose outcome is unknown. */
+  RELAY_FAILED("relay-failed"),
+  /** A gateway is avoided, because it did not answer or declined a request. */
+  GATEWAY_AVOIDED("gateway-avoided"),
   /** A backend server was registered, became reachable again, or changed its role or state. */
   SERVER_CHANGED("server-changed"),
   /** This VM reported a primary as unreachable. */
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/GatewayFixture.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/GatewayFixture.java
@@ -3,22 +3,33 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
+import org.cowslipdale.config.settings.Feature;
 import org.cowslipdale.core.backend.Announcement;
 import org.cowslipdale.core.backend.BackendRegistry;
-import org.cowslipdale.core.backend.BackendServer;
+import org.cowslipdale.core.backend.ServerBackoff;
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.backend.ServerRole;
+import org.cowslipdale.core.failover.PrimaryTrafficMonitor;
 import org.cowslipdale.core.permit.HeldPermits;
 import org.cowslipdale.core.placement.Gateways;
+import org.cowslipdale.core.routing.FleetPositions;
+import org.cowslipdale.core.routing.ReplicaLagTracker;
+import org.cowslipdale.core.routing.SessionRouter;
+import org.cowslipdale.core.routing.WriteFencing;
 import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.view.Configuration;
 import org.cowslipdale.core.view.Database;
 import org.cowslipdale.core.view.DeclaredDocument;
+import org.cowslipdale.core.view.Freshness;
+import org.cowslipdale.core.view.SessionRoute;
 import org.cowslipdale.core.view.View;
 import org.cowslipdale.core.view.ViewCommand;
 import org.cowslipdale.core.view.VmRecord;
+import org.cowslipdale.daemon.request.RateLimiter;
 import org.cowslipdale.daemon.version.ViewHolder;
 import org.cowslipdale.daemon.version.VmClock;
 
@@ -32,6 +43,14 @@
 
   static final int SHARE = 2;
 
+  /** The customer of sessions without a key. */
+  static final String CUSTOMER = "-";
+
+  /** The name of an open route to the database with the latest freshness. */
+  static final String OPEN_ROUTE = "open-route";
+
+  private static final long LIMIT_MILLIS = 1_500;
+
   private static final int VMS = 3;
   private static final int RESERVED_CONNECTIONS = 2;
   private static final long TRANSACTION_IDLE_MILLIS = 600;
@@ -57,10 +76,6 @@
     return clock;
   }
 
-  BackendRegistry registry() {
-    return registry;
-  }
-
   FakeServers servers() {
     return servers;
   }
@@ -73,22 +88,55 @@
     return vms.get(name);
   }
 
-  BackendServer server(String name) {
-    return registry.group("bonds").server(name).orElseThrow();
+  /** Returns the gateway of {@link #CUSTOMER} and its fallback. */
+  List<String> gateways() {
+    Gateways.Key key = new Gateways.Key(CUSTOMER, "bonds", "a");
+    return Gateways.candidates(key, views.get().view().vms().values()).stream()
+        .map(VmRecord::name)
+        .toList();
   }
 
-  /** Returns a customer whose gateway and fallback are the given VMs. */
-  String customerOf(String gateway, String fallback) {
-    for (int i = 0; ; i++) {
-      Gateways.Key key = new Gateways.Key("customer-" + i, "bonds", "a");
-      List<String> candidates =
-          Gateways.candidates(key, views.get().view().vms().values()).stream()
-              .map(VmRecord::name)
-              .toList();
-      if (candidates.equals(List.of(gateway, fallback))) {
-        return key.customer();
-      }
-    }
+  /** Returns the VM that is neither the gateway of {@link #CUSTOMER} nor its fallback. */
+  Vm requester() {
+    return vms.values().stream()
+        .filter(vm -> !gateways().contains(vm.name()))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /** Returns the components of a VM that uses gateways. */
+  SessionContext context(Vm vm, GatewayLink link) {
+    GatewayConnections connections =
+        new GatewayConnections(vm.name(), "a", vm.pools(), link, clock);
+    ReplicaLagTracker lagTracker = new ReplicaLagTracker();
+    ServerBackoff backoff = new ServerBackoff(new Random());
+    WriteFencing fencing = WriteFencing.BY_SERVERS;
+    return new SessionContext(
+        views,
+        registry,
+        new ServerHealth(),
+        new SessionRouter(vm.name(), "a", "r", connections, lagTracker, backoff, fencing),
+        connections,
+        lagTracker,
+        new FleetPositions(),
+        backoff,
+        new PrimaryTrafficMonitor(),
+        new UnlimitedRates(),
+        clock,
+        Set.of(Feature.CONNECTION_GATEWAYS));
+  }
+
+  PrimaryChecker checker(SessionContext context) {
+    return new PrimaryChecker(views, registry, servers, context.trafficMonitor(), clock, () -> {});
+  }
+
+  private static final class UnlimitedRates implements RateLimiter {
+
+    @Override
+    public void acquire(String customer, long deadlineMillis) {}
+
+    @Override
+    public void returnToken(String customer) {}
   }
 
   /** Waits until a condition holds, for a few seconds at most; returns whether it holds. */
@@ -143,7 +191,16 @@
             Map.of(),
             Map.of(),
             Map.of("bonds", new Database("bonds", 2, SHARE * VMS + RESERVED_CONNECTIONS, 0)),
-            Map.of(),
+            Map.of(
+                OPEN_ROUTE,
+                new SessionRoute(
+                    OPEN_ROUTE,
+                    "bonds",
+                    new Freshness.Latest(),
+                    LIMIT_MILLIS,
+                    LIMIT_MILLIS,
+                    1,
+                    true)),
             TRANSACTION_IDLE_MILLIS);
     View view =
         View.EMPTY
