Let one statement at a time try a gateway after its avoidance

Cause: when the avoidance of a dead gateway ends, all statements in progress would wait up to 500 ms for it at once.

Change: GatewayHealth.tryUse lets one statement per 600 ms through until the gateway answers.

Result: GatewaysTests (17) green.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/placement/GatewayHealth.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/placement/GatewayHealth.java
@@ -16,9 +16,17 @@
   private static final long INITIAL_AVOIDANCE_MILLIS = 1_000;
   private static final long MAX_AVOIDANCE_MILLIS = 8_000;
 
+  /** Longer than a statement waits for the first answer of a gateway. */
+  private static final long TRIAL_MILLIS = 600;
+
   private final Map<String, Avoidance> avoided = new ConcurrentHashMap<>();
 
-  private record Avoidance(long durationMillis, long untilMillis) {}
+  /**
+   * @param durationMillis the time for which the VM is avoided
+   * @param untilMillis when the avoidance ends
+   * @param triedMillis when a statement last tried the VM after that, or {@link Long#MIN_VALUE}
+   */
+  private record Avoidance(long durationMillis, long untilMillis, long triedMillis) {}
 
   /**
    * Records that a VM did not answer, or does not act as a gateway at present. Failures while it is
@@ -54,6 +62,27 @@
     return avoidance != null && now < avoidance.untilMillis();
   }
 
+  /**
+   * Returns whether a statement may use a VM. After the avoidance of a VM only one statement at a
+   * time tries it until it answers, so that a dead gateway delays few statements.
+   *
+   * @param vm the name of the VM
+   * @param now the current time on the VM's monotonic clock, in milliseconds
+   */
+  public boolean tryUse(String vm, long now) {
+    Avoidance avoidance = avoided.get(vm);
+    if (avoidance == null) {
+      return true;
+    }
+    boolean tried =
+        avoidance.triedMillis() != Long.MIN_VALUE && now < avoidance.triedMillis() + TRIAL_MILLIS;
+    if (now < avoidance.untilMillis() || tried) {
+      return false;
+    }
+    Avoidance next = new Avoidance(avoidance.durationMillis(), avoidance.untilMillis(), now);
+    return avoided.replace(vm, avoidance, next);
+  }
+
   private static Avoidance next(@Nullable Avoidance previous, long now) {
     if (previous != null && now < previous.untilMillis()) {
       return previous;
@@ -62,6 +91,6 @@
         previous == null
             ? INITIAL_AVOIDANCE_MILLIS
             : Math.min(MAX_AVOIDANCE_MILLIS, previous.durationMillis() * 2);
-    return new Avoidance(duration, now + duration);
+    return new Avoidance(duration, now + duration, Long.MIN_VALUE);
   }
 }
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/placement/GatewaysTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/placement/GatewaysTests.java
@@ -130,6 +130,23 @@
     assertThat(health.isAvoided("vm1", 1_000), is(false));
   }
 
+  /** Guards against a dead gateway that delays all statements whenever its avoidance ends. */
+  @Test
+  void onlyOneStatementTriesAVmAfterItsAvoidance() {
+    GatewayHealth health = new GatewayHealth();
+    assertThat(health.tryUse("vm1", 0), is(true));
+    health.failed("vm1", 0);
+
+    assertThat(health.tryUse("vm1", 999), is(false));
+    assertThat(health.tryUse("vm1", 1_000), is(true));
+    assertThat(health.tryUse("vm1", 1_001), is(false));
+    assertThat(health.tryUse("vm1", 1_600), is(true));
+    assertThat(health.failed("vm1", 2_000), is(2_000L));
+    health.answered("vm1");
+    assertThat(health.tryUse("vm1", 2_001), is(true));
+    assertThat(health.tryUse("vm1", 2_001), is(true));
+  }
+
   @Test
   void anAnswerEndsTheAvoidance() {
     GatewayHealth health = new GatewayHealth();
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/GatewayConnections.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/GatewayConnections.java
@@ -131,7 +131,7 @@
 
   private boolean mayRelay(ConnectionDemand demand, VmRecord gateway) {
     return Gateways.isAllowed(demand.homeRegions(), gateway)
-        && !health.isAvoided(gateway.name(), clock.millis());
+        && health.tryUse(gateway.name(), clock.millis());
   }
 
   private Optional<Checkout> acquireFrom(String gateway, ConnectionDemand demand)
