Add metrics for server connections and gateways

Change: new connections per statement, relayed statements by result, and handles. A handle that its requester does not use is logged when it is closed.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
@@ -100,6 +100,7 @@
             health,
             control.connectionPermits(server -> pools().closeIdle(server)));
     pools = sessionPools;
+    ConnectionMeters.register(meters, sessionPools.usage());
     Set<Feature> features = adapter.features(settings);
     ConnectionSource connections =
         features.contains(Feature.CONNECTION_GATEWAYS)
@@ -148,12 +149,16 @@
     GatewayService service = new GatewayService(sessionPools, views, registry, clock);
     gatewayService = service;
     control.setGatewayHandler(service);
-    return new GatewayConnections(
-        settings.vm().name(),
-        settings.vm().failureDomain(),
-        sessionPools,
-        control.gatewayLink(),
-        clock);
+    ConnectionMeters.register(meters, service);
+    GatewayConnections connections =
+        new GatewayConnections(
+            settings.vm().name(),
+            settings.vm().failureDomain(),
+            sessionPools,
+            control.gatewayLink(),
+            clock);
+    ConnectionMeters.register(meters, connections.metrics());
+    return connections;
   }
 
   @Override
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/GatewayService.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/GatewayService.java
@@ -98,9 +98,9 @@
     HandleKey key = new HandleKey(connectionId, request.handle());
     switch (request) {
       case GatewayRequest.Acquire acquire ->
-          open(key, replies, handle -> acquire(handle, acquire, receivedMillis));
+          open(requester, key, replies, handle -> acquire(handle, acquire, receivedMillis));
       case GatewayRequest.Read read ->
-          open(key, replies, handle -> read(handle, read, receivedMillis));
+          open(requester, key, replies, handle -> read(handle, read, receivedMillis));
       case GatewayRequest.Run run -> {
         Handle handle = handles.get(key);
         if (handle == null || !handle.begin()) {
@@ -175,13 +175,14 @@
   }
 
   /** Opens a handle and starts its first request, or declines it. */
-  private void open(HandleKey key, ReplySender replies, Function<Handle, GatewayReply> task) {
+  private void open(
+      String requester, HandleKey key, ReplySender replies, Function<Handle, GatewayReply> task) {
     ResultCode reason = findReasonToDecline();
     if (reason != null) {
       send(replies, new GatewayReply.Declined(reason));
       return;
     }
-    Handle handle = new Handle(key);
+    Handle handle = new Handle(requester, key);
     if (handles.putIfAbsent(key, handle) != null) {
       handleCount.decrementAndGet();
       send(replies, new GatewayReply.Declined(ResultCode.BAD_REQUEST));
@@ -333,6 +334,7 @@
    */
   private final class Handle {
 
+    private final String requester;
     private final HandleKey key;
     private volatile CompletableFuture<GatewayReply> result = new CompletableFuture<>();
     private String server = "";
@@ -353,7 +355,8 @@
 
     private long lastUsedMillis = clock.millis();
 
-    Handle(HandleKey key) {
+    Handle(String requester, HandleKey key) {
+      this.requester = requester;
       this.key = key;
     }
 
@@ -440,6 +443,7 @@
         idle = !busy && lastUsedMillis <= millis;
       }
       if (idle) {
+        LOG.info("closing a connection to {} that {} does not use", server, requester);
         release(false);
       }
     }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
@@ -39,6 +39,7 @@
   private final SlotQueue<TicketFuture> queue;
   private final Deque<PooledSession> idle = new ArrayDeque<>();
   private final ConnectionPermits permits;
+  private final ConnectionUsage usage;
   private volatile int share;
   private volatile int capacity;
   private boolean closed;
@@ -48,6 +49,7 @@
       SessionConnector connector,
       VmClock clock,
       ConnectionPermits permits,
+      ConnectionUsage usage,
       int share,
       int capacity,
       int maxQueued) {
@@ -55,6 +57,7 @@
     this.connector = connector;
     this.clock = clock;
     this.permits = permits;
+    this.usage = usage;
     this.share = share;
     this.capacity = capacity;
     this.queue = new SlotQueue<>(new QueuePolicy.Fair(), slots(share), maxQueued);
@@ -153,6 +156,7 @@
         permits.recordClosed(server.server());
       }
     }
+    usage.recordOpened();
     return new PooledSession(connection, customer);
   }
 
@@ -237,6 +241,7 @@
         @Nullable LogPosition after,
         long timeoutMillis)
         throws BackendException {
+      usage.recordStatement();
       if (statement instanceof Statement.Execute execute && prepared != null) {
         ServerReply reply = session.execute(execute, prepared, after, timeoutMillis);
         if (reply.failure() == ServerFailure.NOT_PREPARED) {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
@@ -27,6 +27,7 @@
   private final int maxQueued;
   private final ConnectionPermits permits;
   private final ServerHealth health;
+  private final ConnectionUsage usage = new ConnectionUsage();
   private final ConcurrentMap<String, SessionPool> pools = new ConcurrentHashMap<>();
 
   /**
@@ -51,6 +52,11 @@
     this.permits = requireNonNull(permits, "permits");
   }
 
+  /** Returns the counters of opened connections and of statements that ran on them. */
+  public ConnectionUsage usage() {
+    return usage;
+  }
+
   @Override
   public Checkout acquire(ConnectionDemand demand) throws RefusalException, BackendException {
     return pool(demand.server(), demand.current())
@@ -138,7 +144,8 @@
           if (pool != null) {
             pool.close();
           }
-          return new SessionPool(required, connector, clock, permits, share, capacity, maxQueued);
+          return new SessionPool(
+              required, connector, clock, permits, usage, share, capacity, maxQueued);
         });
   }
 
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/GatewayConnectionsTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/GatewayConnectionsTests.java
@@ -64,6 +64,8 @@
 
     assertThat(servers.openedConnections(), is(1));
     assertThat(servers.runs().size(), is(20));
+    assertThat(fixture.vm(gateway).pools().usage().openedPerStatement(), is(0.05));
+    assertThat(connections().metrics().count(RelayMetrics.Result.RAN), is(20L));
     assertThat(link.requests(gateway), is(30));
     assertThat(requester.pools().hasIdleConnection("bonds-1", GatewayFixture.CUSTOMER), is(false));
     assertNoHandleRemains();
