--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
@@ -3,14 +3,12 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.Collection;
-import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import org.cowslipdale.core.backend.BackendServer;
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.permit.ConnectionShare;
 import org.cowslipdale.core.result.RefusalException;
-import org.cowslipdale.core.routing.ServerLoad;
 import org.cowslipdale.daemon.connection.BackendException;
 import org.cowslipdale.daemon.connection.ServerRef;
 import org.cowslipdale.daemon.version.CurrentView;
@@ -22,13 +20,14 @@
  * <p>The connections that a server accepts are shared equally among the VMs that serve callers. If
  * there are fewer connections than VMs, each connection requires a permit.
  */
-public final class SessionPools implements ServerLoad, AutoCloseable {
+public final class SessionPools implements ConnectionSource, AutoCloseable {
 
   private final SessionConnector connector;
   private final VmClock clock;
   private final int maxQueued;
   private final ConnectionPermits permits;
   private final ServerHealth health;
+  private final ConnectionUsage usage = new ConnectionUsage();
   private final ConcurrentMap<String, SessionPool> pools = new ConcurrentHashMap<>();
 
   /**
@@ -53,22 +52,22 @@
     this.permits = requireNonNull(permits, "permits");
   }
 
-  SessionPool.Checkout acquire(
-      BackendServer server,
-      CurrentView current,
-      String customer,
-      Map<String, String> values,
-      long slotDeadlineMillis,
-      long deadlineMillis)
-      throws RefusalException, BackendException {
-    return pool(server, current).acquire(customer, values, slotDeadlineMillis, deadlineMillis);
+  /** Returns the counters of opened connections and of statements that ran on them. */
+  public ConnectionUsage usage() {
+    return usage;
   }
 
-  /**
-   * Closes the idle connections to a server.
-   *
-   * @param server the name of the server
-   */
+  @Override
+  public Checkout acquire(ConnectionDemand demand) throws RefusalException, BackendException {
+    return pool(demand.server(), demand.current())
+        .acquire(
+            demand.customer(),
+            demand.values(),
+            demand.slotDeadlineMillis(),
+            demand.deadlineMillis());
+  }
+
+  @Override
   public void closeIdle(String server) {
     SessionPool pool = pools.get(server);
     if (pool != null) {
@@ -129,7 +128,7 @@
   private SessionPool pool(BackendServer server, CurrentView current) {
     ServerRef required = ServerRef.of(server.announcement());
     int limit = connectionLimit(server, current);
-    int share = ConnectionShare.of(limit, current.callerVms());
+    int share = share(server, current);
     int capacity = ConnectionShare.capacity(limit);
     SessionPool existing = pools.get(required.server());
     if (existing != null && existing.server().equals(required)) {
@@ -145,10 +144,16 @@
           if (pool != null) {
             pool.close();
           }
-          return new SessionPool(required, connector, clock, permits, share, capacity, maxQueued);
+          return new SessionPool(
+              required, connector, clock, permits, usage, share, capacity, maxQueued);
         });
   }
 
+  /** Returns the number of connections to a server that this VM may open without permits. */
+  static int share(BackendServer server, CurrentView current) {
+    return ConnectionShare.of(connectionLimit(server, current), current.callerVms());
+  }
+
   private static int connectionLimit(BackendServer server, CurrentView current) {
     var declared = current.view().configuration().databases().get(server.announcement().database());
     return declared == null || declared.connectionLimit() == 0
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -15,6 +15,7 @@
 import org.cowslipdale.core.result.RefusalException;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.routing.PositionSample;
+import org.cowslipdale.core.routing.RelayedReads;
 import org.cowslipdale.core.routing.SessionDemand;
 import org.cowslipdale.core.routing.SessionTarget;
 import org.cowslipdale.core.routing.SessionTarget.RunOn;
@@ -72,6 +73,9 @@
    */
   private static final long MIN_UNANSWERED_MILLIS = 400;
 
+  /** The number of failures of gateways after which a statement uses this VM's connections. */
+  private static final int MAX_RELAY_FAILURES = 2;
+
   /** The timeout for the reply to a rollback, after which the connection is closed. */
   private static final long ROLLBACK_TIMEOUT_MILLIS = 1_000;
 
@@ -119,6 +123,11 @@
       return !(statement instanceof Statement.Commit) && isWrite();
     }
 
+    /** Returns whether the statement only reads and does not begin a transaction. */
+    boolean isSingleRead() {
+      return !isWrite() && !(statement instanceof Statement.Begin);
+    }
+
     boolean isWrite() {
       return switch (statement) {
         case Statement.Access access -> access.write();
@@ -137,14 +146,13 @@
    * @param commitRequiresLease whether the transaction may have written and may be committed only
    *     under a lease
    */
-  record BegunTransaction(
-      SessionPool.Checkout checkout, RunOn target, boolean commitRequiresLease) {}
+  record BegunTransaction(Checkout checkout, RunOn target, boolean commitRequiresLease) {}
 
   /** Runs a single statement. */
   ServerReply run(StatementRequest request) throws RefusalException {
     return new RetryLoop<ServerReply>(request) {
       @Override
-      Optional<ServerReply> attempt(RunOn target, SessionPool.Checkout checkout)
+      Optional<ServerReply> attempt(RunOn target, Checkout checkout)
           throws RefusalException, BackendException {
         return runSingle(this, target, checkout);
       }
@@ -155,7 +163,7 @@
   BegunTransaction begin(StatementRequest request) throws RefusalException {
     return new RetryLoop<BegunTransaction>(request) {
       @Override
-      Optional<BegunTransaction> attempt(RunOn target, SessionPool.Checkout checkout)
+      Optional<BegunTransaction> attempt(RunOn target, Checkout checkout)
           throws RefusalException, BackendException {
         return beginOn(this, target, checkout);
       }
@@ -181,7 +189,7 @@
         throw new RefusalException(ResultCode.NO_LEASE);
       }
       long sentMillis = context.clock().millis();
-      ServerReply reply = execute(request, transaction.checkout().session(), null);
+      ServerReply reply = execute(request, transaction.checkout(), null);
       recordAnswer(request, transaction.target(), reply, sentMillis);
       boolean retry =
           reply.failure() == ServerFailure.BUSY && reply.state() == TransactionState.OPEN;
@@ -267,7 +275,7 @@
         () -> {
           try {
             ServerReply reply =
-                transaction.checkout().session().execute(statement, null, ROLLBACK_TIMEOUT_MILLIS);
+                transaction.checkout().execute(statement, null, null, ROLLBACK_TIMEOUT_MILLIS);
             if (reply.failure() == null && reply.state() == TransactionState.IDLE) {
               transaction.checkout().markClean();
             }
@@ -291,6 +299,8 @@
     private ResultCode lastFailureCode = ResultCode.WAIT_LIMIT_REACHED;
     private boolean sent;
     private boolean serverBusy;
+    private boolean serverAtFault = true;
+    private int relayFailures;
 
     RetryLoop(StatementRequest request) {
       this.request = request;
@@ -298,7 +308,7 @@
     }
 
     /** Runs the statement on one server; returns empty if it may be tried on another server. */
-    abstract Optional<T> attempt(RunOn target, SessionPool.Checkout checkout)
+    abstract Optional<T> attempt(RunOn target, Checkout checkout)
         throws RefusalException, BackendException;
 
     /**
@@ -336,23 +346,14 @@
     }
 
     private Optional<T> tryServer(RunOn target) throws RefusalException {
-      SessionPool.Checkout checkout;
+      Checkout checkout;
       long lastStartMillis = request.deadlineMillis() - MIN_RUN_MILLIS;
       long rerouteMillis =
           request.requiresPrimary()
               ? lastStartMillis
               : Math.min(lastStartMillis, context.clock().millis() + REROUTE_AFTER_MILLIS);
       try {
-        checkout =
-            context
-                .pools()
-                .acquire(
-                    target.server(),
-                    context.views().get(),
-                    request.operation().customer(),
-                    request.values(),
-                    rerouteMillis,
-                    lastStartMillis);
+        checkout = context.pools().acquire(createDemand(target, rerouteMillis, lastStartMillis));
       } catch (BackendException e) {
         handleConnectFailure(target, e);
         return Optional.empty();
@@ -376,10 +377,11 @@
         return Optional.empty();
       }
       boolean prepared = false;
+      boolean sentBefore = sent;
       try {
         Optional<RunOn> confirmed = confirm(target.server());
         if (confirmed.isPresent()) {
-          prepareConnection(checkout.session());
+          prepareConnection(checkout);
           prepared = true;
           confirmed = confirm(target.server()).filter(RetryLoop.this::countSend);
         }
@@ -396,8 +398,18 @@
         }
         sent = true;
         return attempt(confirmed.get(), checkout);
+      } catch (RelayException e) {
+        checkout.close();
+        sent = sentBefore || e.mayHaveReachedServer();
+        handleRelayFailure(target, e);
+        return Optional.empty();
       } catch (BackendException e) {
         checkout.close();
+        if (e.failure().isPresent()) {
+          sent = sentBefore;
+          handleConnectFailure(target, e);
+          return Optional.empty();
+        }
         handleBrokenConnection(
             target, e, prepared && e.mayHaveReachedServer(), context.clock().millis() - sentMillis);
         return Optional.empty();
@@ -419,14 +431,30 @@
     }
 
     /** Sends the commands that the statement requires first on its connection. */
-    private void prepareConnection(PooledSession session) throws BackendException {
-      session.applyValues(request.values(), remainingMillis());
+    private void prepareConnection(Checkout checkout) throws BackendException {
+      checkout.applyValues(request.values(), remainingMillis());
       PreparedStatement prepared = request.prepared();
       if (prepared != null) {
-        session.prepare(prepared, remainingMillis());
+        checkout.prepare(prepared, remainingMillis());
       }
     }
 
+    private ConnectionDemand createDemand(
+        RunOn target, long slotDeadlineMillis, long deadlineMillis) {
+      return new ConnectionDemand(
+          target.server(),
+          context.views().get(),
+          request.operation().customer(),
+          request.operation().route().priority(),
+          homeRegions(context.views().get()).regions(),
+          request.values(),
+          request.prepared(),
+          request.isSingleRead(),
+          relayFailures < MAX_RELAY_FAILURES,
+          slotDeadlineMillis,
+          deadlineMillis);
+    }
+
     private SessionTarget route() {
       CurrentView current = context.views().get();
       String database = request.operation().route().database();
@@ -551,14 +579,50 @@
       }
     }
 
+    /**
+     * Handles a statement that a gateway did not run or did not answer, which shows nothing about
+     * the server.
+     */
+    private void handleRelayFailure(RunOn target, RelayException e) throws RefusalException {
+      logLine(LogEvent.RELAY_FAILED, request, target)
+          .with("sent", e.mayHaveReachedServer())
+          .with("reason", e.getCause())
+          .write();
+      if (e.mayHaveReachedServer()
+          && request.isWrite()
+          && !(request.statement() instanceof Statement.Begin)) {
+        throw new RefusalException(ResultCode.OUTCOME_UNKNOWN);
+      }
+      lastFailureCode = e.refusal().orElse(ResultCode.WAIT_LIMIT_REACHED);
+      if (e.refusal().isPresent() && request.requiresPrimary()) {
+        throw new RefusalException(lastFailureCode);
+      }
+      if (context.clock().millis() >= request.deadlineMillis() - ANSWER_MARGIN_MILLIS) {
+        throw new RefusalException(
+            e.mayHaveReachedServer()
+                ? ResultCode.STATEMENT_TIMED_OUT
+                : ResultCode.WAIT_LIMIT_REACHED);
+      }
+      if (e.refusal().isEmpty()) {
+        repeatOnSameServer();
+      }
+    }
+
+    /** Lets the next attempt choose the same server, because the gateway was at fault. */
+    private void repeatOnSameServer() {
+      relayFailures++;
+      serverAtFault = false;
+    }
+
     /**
      * Excludes a server that rejected the statement from the next attempts, and waits first if the
      * statement writes or depends on the lease. A busy server needs no exclusion, because the
      * router avoids it until its backoff has ended.
      */
     private void handleRejection(RunOn target) throws RefusalException {
-      if (serverBusy) {
+      if (serverBusy || !serverAtFault) {
         serverBusy = false;
+        serverAtFault = true;
         return;
       }
       triedServers.add(target.server().name());
@@ -646,24 +710,31 @@
     }
   }
 
-  private Optional<ServerReply> runSingle(
-      RetryLoop<?> retryLoop, RunOn target, SessionPool.Checkout checkout)
+  private Optional<ServerReply> runSingle(RetryLoop<?> retryLoop, RunOn target, Checkout checkout)
       throws RefusalException, BackendException {
     StatementRequest request = retryLoop.request;
     long sentMillis = context.clock().millis();
-    ServerReply reply = execute(request, checkout.session(), target.minPosition());
+    ServerReply reply = execute(request, checkout, target.minPosition());
     recordAnswer(request, target, reply, sentMillis);
     if (reply.state() == TransactionState.IDLE) {
       checkout.markClean();
     }
     checkout.close();
     if (reply.failure() == null) {
+      if (!isRecentEnough(request, target, checkout, sentMillis)) {
+        checkout.markDiscarded();
+        retryLoop.lastFailureCode = ResultCode.NO_FRESH_SERVER;
+        retryLoop.repeatOnSameServer();
+        return Optional.empty();
+      }
       if (DecisionLog.isSampled(request.statement().id())) {
         logLine(LogEvent.STATEMENT_DONE, request, target)
             .with("waited_ms", sentMillis - retryLoop.startedMillis)
             .with("server_ms", context.clock().millis() - sentMillis)
             .with("known_ago_ms", sentMillis - target.completeUntilMillis())
             .with("position", reply.position())
+            .with("gateway", checkout.relayTiming().map(RelayTiming::gateway).orElse(null))
+            .with("gateway_ms", checkout.relayTiming().map(RelayTiming::relayMillis).orElse(null))
             .write();
       }
       if (target.leaseRequired() && request.isWrite()) {
@@ -676,6 +747,22 @@
     return handleFailure(retryLoop, target, reply.failure());
   }
 
+  /** Returns whether a read that a gateway sent reached its server early enough. */
+  private static boolean isRecentEnough(
+      StatementRequest request, RunOn target, Checkout checkout, long sentMillis) {
+    return checkout
+        .relayTiming()
+        .map(
+            timing ->
+                RelayedReads.isRecentEnough(
+                    target,
+                    request.operation().route().freshness(),
+                    sentMillis,
+                    timing.elapsedMillis(),
+                    timing.serverMillis()))
+        .orElse(true);
+  }
+
   /**
    * Returns empty if a statement that failed on one server may be tried on another, and throws
    * otherwise.
@@ -694,11 +781,11 @@
   }
 
   private Optional<BegunTransaction> beginOn(
-      RetryLoop<?> retryLoop, RunOn target, SessionPool.Checkout checkout)
+      RetryLoop<?> retryLoop, RunOn target, Checkout checkout)
       throws RefusalException, BackendException {
     StatementRequest request = retryLoop.request;
     long sentMillis = context.clock().millis();
-    ServerReply reply = execute(request, checkout.session(), target.minPosition());
+    ServerReply reply = execute(request, checkout, target.minPosition());
     recordAnswer(request, target, reply, sentMillis);
     if (reply.failure() != null) {
       if (reply.state() == TransactionState.IDLE) {
@@ -729,17 +816,10 @@
   }
 
   private ServerReply execute(
-      StatementRequest request, PooledSession session, @Nullable LogPosition after)
+      StatementRequest request, Checkout checkout, @Nullable LogPosition after)
       throws BackendException {
     long timeout = Math.max(1, request.deadlineMillis() - context.clock().millis());
-    if (request.statement() instanceof Statement.Execute execute && request.prepared() != null) {
-      ServerReply reply = session.execute(execute, request.prepared(), after, timeout);
-      if (reply.failure() == ServerFailure.NOT_PREPARED) {
-        session.clearPrepared();
-      }
-      return reply;
-    }
-    return session.execute(request.statement(), after, timeout);
+    return checkout.execute(request.statement(), request.prepared(), after, timeout);
   }
 
   /** Records what a reply shows about the state of the server and its log. */
