--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/FakeServers.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/FakeServers.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.statement.ServerCommand;
 import org.cowslipdale.core.statement.ServerReply;
@@ -23,6 +24,7 @@
 
   private final Map<String, CountDownLatch> answerLatches = new ConcurrentHashMap<>();
   private final Queue<String> runs = new ConcurrentLinkedQueue<>();
+  private final AtomicInteger commandCount = new AtomicInteger();
   private volatile long connectDelayMillis;
   private volatile long statementDelayMillis;
   private volatile boolean breakOnPrepare;
@@ -60,6 +62,11 @@
     return List.copyOf(runs);
   }
 
+  /** Returns the number of commands of any kind that the servers received. */
+  int commandCount() {
+    return commandCount.get();
+  }
+
   @Override
   public ServerConnection connect(ServerRef server, String customer, long timeoutMillis)
       throws BackendException {
@@ -90,6 +97,7 @@
 
     @Override
     public ServerReply execute(ServerCommand command, long timeoutMillis) throws BackendException {
+      commandCount.incrementAndGet();
       if (command instanceof ServerCommand.Prepare && breakOnPrepare) {
         usable = false;
         throw new BackendException(true, new IOException("the connection broke"));
