Test that the sessions of a VM share its limit for a cold server

Cause: a trial that did not enforce the count at the send stayed green, because the confirmation right before it hides all but a race; nothing tested that checking and counting are one step.

--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/placement/ColdStartLimitTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/placement/ColdStartLimitTests.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.IntFunction;
 import java.util.stream.IntStream;
 import org.cowslipdale.core.backend.Announcement;
@@ -97,6 +99,40 @@
     assertThat(limit.trySend(server(0, 2), view, START + 1_200), is(true));
   }
 
+  /** Guards against sessions of a VM that use the same share at the same moment. */
+  @Test
+  void sessionsOfOneVmShareItsLimit() throws InterruptedException {
+    View view = view(5, 0, 1);
+    BackendServer server = server(0, 1);
+    for (int round = 0; round < 200; round++) {
+      ColdStartLimit limit = new ColdStartLimit(vmName(0));
+      CountDownLatch start = new CountDownLatch(1);
+      AtomicInteger permitted = new AtomicInteger();
+      List<Thread> sessions = new ArrayList<>();
+      for (int i = 0; i < 8; i++) {
+        sessions.add(
+            Thread.startVirtualThread(
+                () -> {
+                  awaitStart(start);
+                  permitted.addAndGet(limit.trySend(server, view, START) ? 1 : 0);
+                }));
+      }
+      start.countDown();
+      for (Thread session : sessions) {
+        session.join();
+      }
+      assertThat(permitted.get(), is(5));
+    }
+  }
+
+  private static void awaitStart(CountDownLatch start) {
+    try {
+      start.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   @Test
   void tellsWhenTheNextStatementMayBeSent() {
     View view = view(2, 0, 1);
