Read less at once from HTTP connections

Cause: an HTTP server holds all requests of one read, each as an object of some kilobytes. Reads of 64 KiB from 64 clients that send requests ahead ended a control VM (configuration PIPELINED_REQUESTS, heap of 48 MB: out of heap after the crowd). Change: reads of 2 KiB, one at a time, for HTTP servers only.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/client/BoundedAcceptTransport.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/client/BoundedAcceptTransport.java
@@ -2,13 +2,18 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.socket.DatagramChannel;
 import io.netty.channel.socket.InternetProtocolFamily;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.transport.Transport;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -26,6 +31,12 @@
 
   private static final int MIN_PENDING = 64;
 
+  /**
+   * The bytes of one read from an HTTP connection. The server holds all requests of a read, each of
+   * which takes some kilobytes; by default a read has 64 KiB, or a thousand small requests.
+   */
+  private static final int HTTP_READ_BYTES = 2 << 10;
+
   private final int maxPending;
 
   /**
@@ -88,6 +99,17 @@
           ? nio.serverChannelFactory(true)
           : () -> new BoundedServerChannel(maxPending);
     }
+
+    @Override
+    public void configure(
+        NetServerOptions options, boolean domainSocket, ServerBootstrap bootstrap) {
+      nio.configure(options, domainSocket, bootstrap);
+      if (options instanceof HttpServerOptions) {
+        bootstrap.childOption(
+            ChannelOption.RCVBUF_ALLOCATOR,
+            new FixedRecvByteBufAllocator(HTTP_READ_BYTES).maxMessagesPerRead(1));
+      }
+    }
   }
 
   /** Accepts connections while few of them wait for an event loop. */
