--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/telemetry/LogEvent.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/telemetry/LogEvent.java
@@ -20,6 +20,8 @@
   HOME_REGION_REFUSED("home-region-refused"),
   /** A statement was refused, because this VM may not send a cold server another one in time. */
   COLD_SERVER_LIMITED("cold-server-limited"),
+  /** The connection of a client was closed because it exceeded a limit. */
+  CLIENT_CLOSED("client-closed"),
   /** A server rejected a statement, which is retried if its time limit allows. */
   SERVER_DECLINED("server-declined"),
   /** No connection to a server could be opened. */
