--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/client/BoundedAcceptTransport.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/client/BoundedAcceptTransport.java
@@ -100,7 +100,9 @@
           : () -> new BoundedServerChannel(maxPending);
     }
 
+    /** Netty deprecates the option, but Vert.x sets the allocator by it too. */
     @Override
+    @SuppressWarnings("deprecation")
     public void configure(
         NetServerOptions options, boolean domainSocket, ServerBootstrap bootstrap) {
       nio.configure(options, domainSocket, bootstrap);
