Queue for slots by priority where a deployment asks for it

Cause: the queue of a server orders customers only. A lower class that sends more than usual delays the highest one by as much as itself, and one mean service time over all classes refuses cheap requests because expensive ones ran before.

Change: QueuePolicy.Priority. Higher priorities go first, then the customer that had the least service recently, then requests that can still meet their objective. One in 8 dispatches goes to the request that waited longest. A full queue displaces the lowest priority. Session pools use it with priority-admission; without it they keep the fair policy.

No load was measured.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/admission/QueuePolicy.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/admission/QueuePolicy.java
@@ -11,4 +11,17 @@
    * for measurements.
    */
   record Fifo() implements QueuePolicy {}
+
+  /**
+   * Dispatches higher priorities first; within a priority, the customer that had the least service
+   * recently; within a customer, requests that can still meet their objective. One in {@link
+   * Priority#OLDEST_FIRST_INTERVAL} dispatches goes to the request that has waited longest, so that
+   * no request starves. Requests that are expected to miss their deadline are refused, and a
+   * request of a higher priority displaces one of a lower priority from a full queue.
+   */
+  record Priority() implements QueuePolicy {
+
+    /** Of this many dispatches to waiting requests, one goes to the request that waited longest. */
+    public static final int OLDEST_FIRST_INTERVAL = 8;
+  }
 }
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/admission/SlotQueue.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/admission/SlotQueue.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Assigns a limited number of slots of one backend server to requests that wait for them.
@@ -18,14 +19,14 @@
  * released slot has a connection that only the same customer can use again: when many customers
  * wait for few connections, replacing one for each request would take as long as the requests
  * themselves. This policy also refuses a request at once, before it uses any resources, if the
- * request is expected to miss its deadline. This class is safe for use by several threads.
+ * request is expected to miss its deadline. The priority policy keeps its requests in a {@link
+ * PriorityBacklog}. This class is safe for use by several threads.
  *
  * @param <T> the payload with which the caller continues a request
  */
 public final class SlotQueue<T> {
 
   private static final double SMOOTHING_FACTOR = 0.1;
-  private static final double INITIAL_SERVICE_MILLIS = 2;
   private static final String SHARED_QUEUE = "";
 
   /** The maximum number of requests that a customer sends over one connection in its turn. */
@@ -33,6 +34,11 @@
 
   private final QueuePolicy policy;
   private final int maxQueued;
+
+  /** The requests that wait under the priority policy. */
+  private final PriorityBacklog<T> backlog = new PriorityBacklog<>();
+
+  /** The requests that wait under the other policies. */
   private final Map<String, Deque<Ticket<T>>> waiting = new LinkedHashMap<>();
 
   /** How many requests of the current turn of a waiting customer were dispatched. */
@@ -41,7 +47,7 @@
   private int slots;
   private int running;
   private int queued;
-  private double meanServiceMillis = INITIAL_SERVICE_MILLIS;
+  private double meanServiceMillis = ServiceTimes.INITIAL_SERVICE_MILLIS;
 
   /**
    * Creates a queue.
@@ -65,28 +71,83 @@
    * @param <T> the payload with which the caller continues a request
    * @param dispatched requests that now have a slot or token
    * @param expired requests whose deadline has passed, or that cannot get a token before it
+   * @param refused requests that were displaced by others, or are now expected to miss their
+   *     deadline
    */
-  public record Progress<T>(List<Ticket<T>> dispatched, List<Ticket<T>> expired) {}
+  public record Progress<T>(
+      List<Ticket<T>> dispatched, List<Ticket<T>> expired, List<Ticket<T>> refused) {
+
+    /**
+     * Creates a progress without refused requests.
+     *
+     * @param dispatched requests that now have a slot or token
+     * @param expired requests whose deadline has passed, or that cannot get a token before it
+     */
+    public Progress(List<Ticket<T>> dispatched, List<Ticket<T>> expired) {
+      this(dispatched, expired, List.of());
+    }
+  }
 
   /**
-   * Takes a slot, or adds the request to the queue.
+   * The decision on a request.
+   *
+   * @param <T> the payload with which the caller continues a request
+   * @param admission the decision
+   * @param displaced the waiting request that the new one displaced, if any; it is refused
+   */
+  public record Decision<T>(Admission admission, Optional<Ticket<T>> displaced) {}
+
+  /**
+   * Takes a slot, or adds the request to the queue if no other request must leave it.
    *
    * @param ticket the request
    * @param now the current time on the VM's monotonic clock, in milliseconds
    */
   public synchronized Admission offer(Ticket<T> ticket, long now) {
-    if (running < slots && queued == 0) {
+    if (running < slots && queued() == 0) {
       running++;
+      if (policy instanceof QueuePolicy.Priority) {
+        backlog.recordDispatch(ticket.profile(), now);
+      }
       return Admission.DISPATCH;
     }
-    if (queued >= maxQueued || wouldMissDeadline(ticket, now)) {
+    if (queued() >= maxQueued || wouldMissDeadline(ticket, now)) {
       return Admission.REFUSED;
     }
-    waiting.computeIfAbsent(queueKey(ticket), key -> new ArrayDeque<>()).add(ticket);
-    queued++;
+    enqueue(ticket);
     return Admission.QUEUED;
   }
 
+  /**
+   * Takes a slot, or adds the request to the queue. Under the priority policy the request may
+   * displace another from a full queue.
+   *
+   * @param ticket the request
+   * @param now the current time on the VM's monotonic clock, in milliseconds
+   */
+  public synchronized Decision<T> admit(Ticket<T> ticket, long now) {
+    Optional<Ticket<T>> displaced = Optional.empty();
+    if (policy instanceof QueuePolicy.Priority
+        && queued() >= maxQueued
+        && !wouldMissDeadline(ticket, now)) {
+      displaced = backlog.displaceFor(ticket.profile());
+    }
+    return new Decision<>(offer(ticket, now), displaced);
+  }
+
+  private void enqueue(Ticket<T> ticket) {
+    if (policy instanceof QueuePolicy.Priority) {
+      backlog.add(ticket);
+    } else {
+      waiting.computeIfAbsent(queueKey(ticket), key -> new ArrayDeque<>()).add(ticket);
+      queued++;
+    }
+  }
+
+  private int queued() {
+    return queued + backlog.size();
+  }
+
   /**
    * Releases a slot and assigns it to a waiting request.
    *
@@ -121,6 +182,63 @@
     return new Progress<>(dispatched, expired);
   }
 
+  /**
+   * Releases the slot of a request and assigns it to a waiting one. Under the priority policy, the
+   * time counts for the class and the customer of the request.
+   *
+   * @param profile the request that used the slot
+   * @param usedMillis how long the slot was in use, in milliseconds
+   * @param now the current time on the VM's monotonic clock, in milliseconds
+   */
+  public synchronized Progress<T> release(RequestProfile profile, double usedMillis, long now) {
+    if (policy instanceof QueuePolicy.Priority) {
+      backlog.recordRelease(profile, usedMillis, now);
+    }
+    return release(usedMillis, now);
+  }
+
+  /**
+   * Releases the slot of a request whose connection only the same customer can use again. Under the
+   * priority policy, the time counts for the class and the customer of the request.
+   *
+   * @param profile the request that used the slot
+   * @param usedMillis how long the slot was in use, in milliseconds
+   * @param now the current time on the VM's monotonic clock, in milliseconds
+   */
+  public synchronized Progress<T> releaseConnection(
+      RequestProfile profile, double usedMillis, long now) {
+    if (!(policy instanceof QueuePolicy.Priority)) {
+      return releaseConnection(profile.customer(), usedMillis, now);
+    }
+    backlog.recordRelease(profile, usedMillis, now);
+    recordRelease(usedMillis);
+    List<Ticket<T>> expired = removeExpired(now);
+    List<Ticket<T>> dispatched = new ArrayList<>();
+    if (running < slots) {
+      backlog.removeNextOf(profile.customer(), now).ifPresent(dispatched::add);
+      running += dispatched.size();
+    }
+    Progress<T> rest = advance(now);
+    dispatched.addAll(rest.dispatched());
+    return new Progress<>(dispatched, expired, rest.refused());
+  }
+
+  /**
+   * Releases a slot that a request did not use because it got no connection, and assigns it to a
+   * waiting request. Its time does not count as a service time.
+   *
+   * @param profile the request that had the slot
+   * @param now the current time on the VM's monotonic clock, in milliseconds
+   */
+  public synchronized Progress<T> releaseUnused(RequestProfile profile, long now) {
+    if (!(policy instanceof QueuePolicy.Priority)) {
+      return release(0, now);
+    }
+    backlog.recordUnused(profile, now);
+    running--;
+    return advance(now);
+  }
+
   private void recordRelease(double usedMillis) {
     running--;
     meanServiceMillis += SMOOTHING_FACTOR * (usedMillis - meanServiceMillis);
@@ -134,11 +252,12 @@
   public synchronized Progress<T> advance(long now) {
     List<Ticket<T>> expired = removeExpired(now);
     List<Ticket<T>> dispatched = new ArrayList<>();
-    while (running < slots && queued > 0) {
-      dispatched.add(removeNext());
+    List<Ticket<T>> hopeless = backlog.removeHopeless(slots, now);
+    while (running < slots && queued() > 0) {
+      dispatched.add(backlog.size() > 0 ? backlog.removeNext(now) : removeNext());
       running++;
     }
-    return new Progress<>(dispatched, expired);
+    return new Progress<>(dispatched, expired, hopeless);
   }
 
   /**
@@ -153,12 +272,13 @@
 
   /** Returns the number of requests that run or wait. */
   public synchronized int outstanding() {
-    return running + queued;
+    return running + queued();
   }
 
   private String queueKey(Ticket<T> ticket) {
     return switch (policy) {
       case QueuePolicy.Fair fair -> ticket.customer();
+      case QueuePolicy.Priority priority -> ticket.customer();
       case QueuePolicy.Fifo fifo -> SHARED_QUEUE;
     };
   }
@@ -168,6 +288,7 @@
       case QueuePolicy.Fifo fifo -> false;
       case QueuePolicy.Fair fair ->
           now + expectedWaitMillis(ticket.customer()) > ticket.deadlineMillis();
+      case QueuePolicy.Priority priority -> backlog.wouldMissDeadline(ticket, slots, now);
     };
   }
 
@@ -185,6 +306,9 @@
   }
 
   private List<Ticket<T>> removeExpired(long now) {
+    if (backlog.size() > 0) {
+      return backlog.removeExpired(now);
+    }
     List<Ticket<T>> expired = new ArrayList<>();
     if (queued == 0) {
       return expired;
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
@@ -11,6 +11,8 @@
 import java.util.Random;
 import java.util.Set;
 import org.cowslipdale.config.settings.DaemonSettings;
+import org.cowslipdale.config.settings.Feature;
+import org.cowslipdale.core.admission.QueuePolicy;
 import org.cowslipdale.core.backend.BackendRegistry;
 import org.cowslipdale.core.backend.ServerBackoff;
 import org.cowslipdale.core.backend.ServerHealth;
@@ -87,10 +89,14 @@
 
   @Override
   public void initialize(ControlPlane control) {
+    Set<Feature> features = adapter.features(settings);
     SessionPools sessionPools =
         new SessionPools(
             connector,
             clock,
+            features.contains(Feature.PRIORITY_ADMISSION)
+                ? new QueuePolicy.Priority()
+                : new QueuePolicy.Fair(),
             settings.limits().maxQueued(),
             health,
             control.connectionPermits(server -> pools().closeIdle(server)));
@@ -117,7 +123,7 @@
             trafficMonitor,
             control.rateLimiter(),
             clock,
-            adapter.features(settings));
+            features);
     PrimaryChecker checker =
         new PrimaryChecker(views, registry, connector, trafficMonitor, clock, control::renewLease);
     SessionServer server = new SessionServer(context, checker);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
@@ -5,6 +5,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import org.cowslipdale.core.admission.QueuePolicy;
+import org.cowslipdale.core.admission.RequestProfile;
 import org.cowslipdale.core.admission.SlotQueue;
 import org.cowslipdale.core.permit.PermitIssuer;
 import org.cowslipdale.core.result.RefusalException;
@@ -18,11 +19,11 @@
 /**
  * The pool of this VM's connections with session state to one backend server.
  *
- * <p>A request first waits for a slot in fair order. There are as many slots as the VM may open
- * connections without permits, or {@link PermitIssuer#MAX_PERMITS_PER_VM} if all of them require
- * permits. The request then uses the idle connection of its customer that needs the fewest commands
- * to get the session's values. If there is none, it opens a connection, and closes an idle one
- * first if the limit is reached.
+ * <p>A request first waits for a slot, in the order of the queue policy. There are as many slots as
+ * the VM may open connections without permits, or {@link PermitIssuer#MAX_PERMITS_PER_VM} if all of
+ * them require permits. The request then uses the idle connection of its customer that needs the
+ * fewest commands to get the session's values. If there is none, it opens a connection, and closes
+ * an idle one first if the limit is reached.
  */
 final class SessionPool implements AutoCloseable {
 
@@ -45,6 +46,7 @@
       ConnectionPermits permits,
       int share,
       int capacity,
+      QueuePolicy policy,
       int maxQueued) {
     this.server = server;
     this.connector = connector;
@@ -52,7 +54,7 @@
     this.permits = permits;
     this.share = share;
     this.capacity = capacity;
-    this.queue = new SlotQueue<>(new QueuePolicy.Fair(), slots(share), maxQueued);
+    this.queue = new SlotQueue<>(policy, slots(share), maxQueued);
   }
 
   ServerRef server() {
@@ -94,19 +96,22 @@
    * @throws BackendException if no connection can be opened; nothing was sent
    */
   Checkout acquire(
-      String customer, Map<String, String> values, long slotDeadlineMillis, long deadlineMillis)
+      RequestProfile profile,
+      Map<String, String> values,
+      long slotDeadlineMillis,
+      long deadlineMillis)
       throws RefusalException, BackendException {
-    TicketFuture.awaitSlot(queue, customer, slotDeadlineMillis, clock.millis());
+    TicketFuture.awaitSlot(queue, profile, slotDeadlineMillis, clock.millis());
     long acquiredMillis = clock.millis();
     PooledSession session = null;
     try {
-      session = takeOrConnect(customer, values, slotDeadlineMillis, deadlineMillis);
+      session = takeOrConnect(profile.customer(), values, slotDeadlineMillis, deadlineMillis);
     } finally {
       if (session == null) {
-        TicketFuture.wake(queue.release(0, clock.millis()));
+        TicketFuture.wake(queue.releaseUnused(profile, clock.millis()));
       }
     }
-    return new Checkout(session, acquiredMillis);
+    return new Checkout(session, profile, acquiredMillis);
   }
 
   @Override
@@ -203,12 +208,14 @@
   final class Checkout implements AutoCloseable {
 
     private final PooledSession session;
+    private final RequestProfile profile;
     private final long acquiredMillis;
     private boolean clean;
     private boolean returned;
 
-    private Checkout(PooledSession session, long acquiredMillis) {
+    private Checkout(PooledSession session, RequestProfile profile, long acquiredMillis) {
       this.session = session;
+      this.profile = profile;
       this.acquiredMillis = acquiredMillis;
     }
 
@@ -229,12 +236,11 @@
       returned = true;
       long now = clock.millis();
       if (clean && session.isUsable() && returnToPool()) {
-        TicketFuture.wake(
-            queue.releaseConnection(session.customer(), (double) (now - acquiredMillis), now));
+        TicketFuture.wake(queue.releaseConnection(profile, (double) (now - acquiredMillis), now));
         return;
       }
       closeAndRecord(session);
-      TicketFuture.wake(queue.release((double) (now - acquiredMillis), now));
+      TicketFuture.wake(queue.release(profile, (double) (now - acquiredMillis), now));
     }
 
     private boolean returnToPool() {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import org.cowslipdale.core.admission.QueuePolicy;
+import org.cowslipdale.core.admission.RequestProfile;
 import org.cowslipdale.core.backend.BackendServer;
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.permit.ConnectionShare;
@@ -26,16 +28,36 @@
 
   private final SessionConnector connector;
   private final VmClock clock;
+  private final QueuePolicy policy;
   private final int maxQueued;
   private final ConnectionPermits permits;
   private final ServerHealth health;
   private final ConcurrentMap<String, SessionPool> pools = new ConcurrentHashMap<>();
 
+  /**
+   * Creates pools with fair queues.
+   *
+   * @param connector the connector that opens connections
+   * @param clock the VM's clock
+   * @param maxQueued the maximum number of requests that wait for one server
+   * @param health the failures recorded for each server
+   * @param permits the limit of the connections that this VM may open
+   */
+  public SessionPools(
+      SessionConnector connector,
+      VmClock clock,
+      int maxQueued,
+      ServerHealth health,
+      ConnectionPermits permits) {
+    this(connector, clock, new QueuePolicy.Fair(), maxQueued, health, permits);
+  }
+
   /**
    * Creates the pools.
    *
    * @param connector the connector that opens connections
    * @param clock the VM's clock
+   * @param policy the order in which requests get slots
    * @param maxQueued the maximum number of requests that wait for one server
    * @param health the failures recorded for each server
    * @param permits the limit of the connections that this VM may open
@@ -43,11 +65,13 @@
   public SessionPools(
       SessionConnector connector,
       VmClock clock,
+      QueuePolicy policy,
       int maxQueued,
       ServerHealth health,
       ConnectionPermits permits) {
     this.connector = requireNonNull(connector, "connector");
     this.clock = requireNonNull(clock, "clock");
+    this.policy = requireNonNull(policy, "policy");
     this.maxQueued = maxQueued;
     this.health = requireNonNull(health, "health");
     this.permits = requireNonNull(permits, "permits");
@@ -56,12 +80,12 @@
   SessionPool.Checkout acquire(
       BackendServer server,
       CurrentView current,
-      String customer,
+      RequestProfile profile,
       Map<String, String> values,
       long slotDeadlineMillis,
       long deadlineMillis)
       throws RefusalException, BackendException {
-    return pool(server, current).acquire(customer, values, slotDeadlineMillis, deadlineMillis);
+    return pool(server, current).acquire(profile, values, slotDeadlineMillis, deadlineMillis);
   }
 
   /**
@@ -145,7 +169,8 @@
           if (pool != null) {
             pool.close();
           }
-          return new SessionPool(required, connector, clock, permits, share, capacity, maxQueued);
+          return new SessionPool(
+              required, connector, clock, permits, share, capacity, policy, maxQueued);
         });
   }
 
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import org.cowslipdale.core.admission.RequestProfile;
 import org.cowslipdale.core.backend.BackendServer;
 import org.cowslipdale.core.result.Outcome;
 import org.cowslipdale.core.result.RefusalException;
@@ -23,6 +24,7 @@
 import org.cowslipdale.core.statement.TransactionState;
 import org.cowslipdale.core.view.DatabaseState;
 import org.cowslipdale.core.view.Freshness;
+import org.cowslipdale.core.view.SessionRoute;
 import org.cowslipdale.daemon.connection.BackendException;
 import org.cowslipdale.daemon.telemetry.DecisionLog;
 import org.cowslipdale.daemon.telemetry.LogEvent;
@@ -114,6 +116,18 @@
       return !(statement instanceof Statement.Commit) && isWrite();
     }
 
+    /** Returns the properties that decide when the statement is dispatched. */
+    RequestProfile profile() {
+      SessionRoute route = operation.route();
+      String kind = statement instanceof Statement.Begin ? "transaction" : "statement";
+      long receivedMillis = deadlineMillis - route.statementLimitMillis();
+      return new RequestProfile(
+          operation.customer(),
+          Math.max(0, route.priority()),
+          receivedMillis + route.targetMillis(),
+          route.name() + "/" + kind + (isWrite() ? "/write" : "/read"));
+    }
+
     boolean isWrite() {
       return switch (statement) {
         case Statement.Access access -> access.write();
@@ -276,7 +290,7 @@
                 .acquire(
                     target.server(),
                     context.views().get(),
-                    request.operation().customer(),
+                    request.profile(),
                     request.values(),
                     rerouteMillis,
                     lastStartMillis);
