Back off from busy servers by priority

Cause: all statements of a VM share one back-off of a server. While a lower class overloads it, the highest class waits out the back-offs that the lower one caused.

Change: PriorityBackoff, used with priority-admission. Each priority has its own admission level at a server. A rejection raises it, by more for lower priorities; successes and time lower it. Priority 0 backs off for at most one response time. It relies on the VM's own observations only, no leader.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/backend/ServerBackoff.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/backend/ServerBackoff.java
@@ -14,7 +14,7 @@
  * and halves with every statement that the server accepts. VMs that do not coordinate thus send a
  * full server only slightly more statements than it can accept. This class is thread-safe.
  */
-public final class ServerBackoff {
+public final class ServerBackoff implements BackoffPolicy {
 
   /** A small multiple of the time that a server needs to run one statement. */
   private static final long INITIAL_BACKOFF_MILLIS = 20;
@@ -39,6 +39,26 @@
     this.random = requireNonNull(random, "random");
   }
 
+  @Override
+  public void rejected(String server, int priority, long now) {
+    rejected(server, now);
+  }
+
+  @Override
+  public void served(String server, int priority, long responseMillis, long now) {
+    served(server, now);
+  }
+
+  @Override
+  public boolean trySend(String server, int priority, long now) {
+    return true;
+  }
+
+  @Override
+  public long endMillis(String server, int priority) {
+    return endMillis(server);
+  }
+
   /**
    * Records that a server was too busy to accept a statement or a connection.
    *
@@ -79,12 +99,7 @@
     return backoff == null ? Long.MIN_VALUE : backoff.endMillis();
   }
 
-  /**
-   * Returns whether a server was busy recently, so that reads should prefer other servers.
-   *
-   * @param server the name of the server
-   * @param now the current time on the VM's monotonic clock, in milliseconds
-   */
+  @Override
   public boolean isOverloaded(String server, long now) {
     Backoff backoff = servers.get(server);
     return backoff != null && now < backoff.overloadedUntilMillis();
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionDemand.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionDemand.java
@@ -14,13 +14,15 @@
  * @param freshness how recent the data of its reads must be
  * @param sessionPosition the log position of the session's latest commit
  * @param triedServers the names of the servers that have already rejected it
+ * @param priority the priority of its route; 0 is the highest
  */
 public record SessionDemand(
     String customer,
     boolean write,
     Freshness freshness,
     LogPosition sessionPosition,
-    Set<String> triedServers) {
+    Set<String> triedServers,
+    int priority) {
 
   /** Copies the set and checks that no component is null. */
   public SessionDemand {
@@ -29,4 +31,22 @@
     requireNonNull(sessionPosition, "sessionPosition");
     triedServers = Set.copyOf(triedServers);
   }
+
+  /**
+   * Creates a demand of the highest priority.
+   *
+   * @param customer the name of the customer whose connection is used
+   * @param write whether the statement or transaction may write
+   * @param freshness how recent the data of its reads must be
+   * @param sessionPosition the log position of the session's latest commit
+   * @param triedServers the names of the servers that have already rejected it
+   */
+  public SessionDemand(
+      String customer,
+      boolean write,
+      Freshness freshness,
+      LogPosition sessionPosition,
+      Set<String> triedServers) {
+    this(customer, write, freshness, sessionPosition, triedServers, 0);
+  }
 }
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
@@ -8,7 +8,7 @@
 import java.util.Optional;
 import org.cowslipdale.core.backend.BackendGroup;
 import org.cowslipdale.core.backend.BackendServer;
-import org.cowslipdale.core.backend.ServerBackoff;
+import org.cowslipdale.core.backend.BackoffPolicy;
 import org.cowslipdale.core.placement.Placement;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.session.LogPosition;
@@ -48,7 +48,7 @@
   private final String region;
   private final ServerLoad load;
   private final ReplicaLagTracker replicaLag;
-  private final ServerBackoff backoff;
+  private final BackoffPolicy backoff;
   private final WriteFencing writeFencing;
 
   /**
@@ -68,7 +68,7 @@
       String region,
       ServerLoad load,
       ReplicaLagTracker replicaLag,
-      ServerBackoff backoff,
+      BackoffPolicy backoff,
       WriteFencing writeFencing) {
     this.vm = requireNonNull(vm, "vm");
     this.failureDomain = requireNonNull(failureDomain, "failureDomain");
@@ -199,7 +199,7 @@
     if (!usable) {
       return new SessionTarget.Wait(ResultCode.NO_PRIMARY);
     }
-    long busyUntilMillis = backoff.endMillis(server.get().name());
+    long busyUntilMillis = backoff.endMillis(server.get().name(), demand.priority());
     if (now < busyUntilMillis) {
       return new SessionTarget.Wait(ResultCode.OVERLOADED, busyUntilMillis);
     }
@@ -219,7 +219,7 @@
       boolean eligible =
           !server.announcement().leaving()
               && !demand.triedServers().contains(server.name())
-              && now >= backoff.endMillis(server.name())
+              && now >= backoff.endMillis(server.name(), demand.priority())
               && !replicaLag.isBehind(server.name(), requiredPosition(demand, sample), now)
               && !load.isEjected(server.name(), group.servers().keySet(), now);
       if (eligible) {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
@@ -14,6 +14,8 @@
 import org.cowslipdale.config.settings.Feature;
 import org.cowslipdale.core.admission.QueuePolicy;
 import org.cowslipdale.core.backend.BackendRegistry;
+import org.cowslipdale.core.backend.BackoffPolicy;
+import org.cowslipdale.core.backend.PriorityBackoff;
 import org.cowslipdale.core.backend.ServerBackoff;
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.failover.PrimaryTrafficMonitor;
@@ -102,7 +104,10 @@
             control.connectionPermits(server -> pools().closeIdle(server)));
     pools = sessionPools;
     ReplicaLagTracker lagTracker = new ReplicaLagTracker();
-    ServerBackoff backoff = new ServerBackoff(new Random());
+    BackoffPolicy backoff =
+        features.contains(Feature.PRIORITY_ADMISSION)
+            ? new PriorityBackoff(new Random())
+            : new ServerBackoff(new Random());
     SessionContext context =
         new SessionContext(
             views,
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionContext.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionContext.java
@@ -5,7 +5,7 @@
 import java.util.Set;
 import org.cowslipdale.config.settings.Feature;
 import org.cowslipdale.core.backend.BackendRegistry;
-import org.cowslipdale.core.backend.ServerBackoff;
+import org.cowslipdale.core.backend.BackoffPolicy;
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.failover.PrimaryTrafficMonitor;
 import org.cowslipdale.core.routing.FleetPositions;
@@ -39,7 +39,7 @@
     SessionPools pools,
     ReplicaLagTracker lagTracker,
     FleetPositions positions,
-    ServerBackoff backoff,
+    BackoffPolicy backoff,
     PrimaryTrafficMonitor trafficMonitor,
     RateLimiter limiter,
     VmClock clock,
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -116,6 +116,10 @@
       return !(statement instanceof Statement.Commit) && isWrite();
     }
 
+    int priority() {
+      return Math.max(0, operation.route().priority());
+    }
+
     /** Returns the properties that decide when the statement is dispatched. */
     RequestProfile profile() {
       SessionRoute route = operation.route();
@@ -123,7 +127,7 @@
       long receivedMillis = deadlineMillis - route.statementLimitMillis();
       return new RequestProfile(
           operation.customer(),
-          Math.max(0, route.priority()),
+          priority(),
           receivedMillis + route.targetMillis(),
           route.name() + "/" + kind + (isWrite() ? "/write" : "/read"));
     }
@@ -324,6 +328,14 @@
                   : ResultCode.NO_LEASE;
           return Optional.empty();
         }
+        if (!context
+            .backoff()
+            .trySend(target.server().name(), request.priority(), context.clock().millis())) {
+          checkout.markClean();
+          checkout.close();
+          serverBusy = true;
+          return Optional.empty();
+        }
         sent = true;
         return attempt(confirmed.get(), checkout);
       } catch (BackendException e) {
@@ -380,7 +392,8 @@
           request.isWrite(),
           request.operation().route().freshness(),
           request.lastCommittedPosition(),
-          triedServers);
+          triedServers,
+          request.priority());
     }
 
     private long remainingMillis() {
@@ -397,7 +410,7 @@
           e.failure().filter(failure -> failure == ServerFailure.TOO_MANY_CONNECTIONS).isPresent();
       if (tooManyConnections) {
         serverBusy = true;
-        context.backoff().rejected(server, context.clock().millis());
+        context.backoff().rejected(server, request.priority(), context.clock().millis());
       } else {
         context.health().failed(server, context.clock().millis());
         if (target.asPrimary()) {
@@ -583,9 +596,12 @@
     String database = request.operation().route().database();
     context.health().succeeded(target.server().name());
     if (reply.failure() == ServerFailure.BUSY) {
-      context.backoff().rejected(target.server().name(), context.clock().millis());
+      context
+          .backoff()
+          .rejected(target.server().name(), request.priority(), context.clock().millis());
     } else if (reply.failure() == null) {
-      context.backoff().served(target.server().name(), context.clock().millis());
+      long now = context.clock().millis();
+      context.backoff().served(target.server().name(), request.priority(), now - sentMillis, now);
     }
     if (target.minPosition() != null && reply.failure() == ServerFailure.BEHIND) {
       LogPosition reached = reply.position() == null ? LogPosition.ZERO : reply.position();
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/FakeServers.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/FakeServers.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.statement.ServerCommand;
+import org.cowslipdale.core.statement.ServerFailure;
 import org.cowslipdale.core.statement.ServerReply;
 import org.cowslipdale.core.statement.TransactionState;
 import org.cowslipdale.daemon.connection.BackendException;
@@ -23,6 +24,7 @@
 
   private final Map<String, CountDownLatch> answerLatches = new ConcurrentHashMap<>();
   private final Queue<String> runs = new ConcurrentLinkedQueue<>();
+  private volatile boolean busy;
   private volatile long connectDelayMillis;
   private volatile long statementDelayMillis;
   private volatile boolean breakOnPrepare;
@@ -33,6 +35,11 @@
     return answerLatches.computeIfAbsent(id, key -> new CountDownLatch(1));
   }
 
+  /** Makes the servers reject statements as busy, or not any more. */
+  void rejectAsBusy(boolean busy) {
+    this.busy = busy;
+  }
+
   /** Delays the opening of every later connection. */
   void delayConnections(long millis) {
     connectDelayMillis = millis;
@@ -94,6 +101,10 @@
         usable = false;
         throw new BackendException(true, new IOException("the connection broke"));
       }
+      if (command instanceof ServerCommand.Run && busy) {
+        return new ServerReply(
+            List.of(), "", ServerFailure.BUSY, TransactionState.IDLE, new LogPosition(1, 7));
+      }
       if (command instanceof ServerCommand.Run run) {
         pause(statementDelayMillis);
         runs.add(server + " " + run.statement().id());
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionFixture.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionFixture.java
@@ -4,8 +4,12 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import org.cowslipdale.config.settings.Feature;
+import org.cowslipdale.core.admission.QueuePolicy;
 import org.cowslipdale.core.backend.Announcement;
 import org.cowslipdale.core.backend.BackendRegistry;
+import org.cowslipdale.core.backend.BackoffPolicy;
+import org.cowslipdale.core.backend.PriorityBackoff;
 import org.cowslipdale.core.backend.ServerBackoff;
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.backend.ServerRole;
@@ -48,11 +52,22 @@
   private final BackendRegistry registry = new BackendRegistry(60_000);
   private final FakeServers servers = new FakeServers();
   private final ServerHealth health = new ServerHealth();
-  private final SessionPools pools =
-      new SessionPools(servers, clock, 100, health, new SingleVmPermits());
-  private final Thread poolTicker = Thread.startVirtualThread(this::tickPools);
+  private final Set<Feature> features;
+  private final SessionPools pools;
+  private final Thread poolTicker;
 
   SessionFixture() {
+    this(Set.of());
+  }
+
+  SessionFixture(Set<Feature> features) {
+    this.features = features;
+    QueuePolicy policy =
+        features.contains(Feature.PRIORITY_ADMISSION)
+            ? new QueuePolicy.Priority()
+            : new QueuePolicy.Fair();
+    pools = new SessionPools(servers, clock, policy, 100, health, new SingleVmPermits());
+    poolTicker = Thread.startVirtualThread(this::tickPools);
     announce("bonds-1", ServerRole.PRIMARY);
     announce("bonds-2", ServerRole.REPLICA);
   }
@@ -103,7 +118,10 @@
 
   SessionContext context(ViewHolder views, WriteFencing writeFencing, RateLimiter limiter) {
     ReplicaLagTracker lagTracker = new ReplicaLagTracker();
-    ServerBackoff backoff = new ServerBackoff(new Random());
+    BackoffPolicy backoff =
+        features.contains(Feature.PRIORITY_ADMISSION)
+            ? new PriorityBackoff(new Random())
+            : new ServerBackoff(new Random());
     return new SessionContext(
         views,
         registry,
@@ -116,7 +134,7 @@
         new PrimaryTrafficMonitor(),
         limiter,
         clock,
-        Set.of());
+        features);
   }
 
   PrimaryChecker checker(SessionContext context) {
