Grant permits for connections by priority

Cause: the issuer grants in the order of arrival, so a burst of a lower class takes the connections that become free.

Change: a demand may carry a priority; the issuer grants higher ones first and one in 8 grants to the oldest demand. Demands without the field, from earlier versions or VMs without priority-admission, count as the lowest and keep their order among themselves.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/permit/HeldPermits.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/permit/HeldPermits.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Tracks the permits of this VM to open connections to servers.
@@ -115,10 +116,23 @@
    * @param server the name of the server
    * @param capacity the number of connections that all VMs together may have to the server
    */
-  public synchronized PermitDemand createDemand(String server, int capacity) {
+  public PermitDemand createDemand(String server, int capacity) {
+    return createDemand(server, capacity, null);
+  }
+
+  /**
+   * Creates a demand for a permit. The caller must settle it with {@link #settle}.
+   *
+   * @param server the name of the server
+   * @param capacity the number of connections that all VMs together may have to the server
+   * @param priority the priority of the request that waits for the connection, or null if the VM
+   *     does not order by priority
+   */
+  public synchronized PermitDemand createDemand(
+      String server, int capacity, @Nullable Integer priority) {
     lastNumber++;
     unsettled.add(lastNumber);
-    return new PermitDemand(incarnation, lastNumber, server, capacity);
+    return new PermitDemand(incarnation, lastNumber, server, capacity, priority);
   }
 
   /**
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/permit/PermitIssuer.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/permit/PermitIssuer.java
@@ -1,13 +1,16 @@
 package org.cowslipdale.core.permit;
 
-import java.util.ArrayDeque;
+import static java.util.Comparator.comparingInt;
+
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.cowslipdale.core.control.LeaseTimings;
 import org.jspecify.annotations.Nullable;
 
@@ -33,9 +36,14 @@
    */
   public static final long MAX_WAIT_MILLIS = 300;
 
+  /** Of this many grants, one goes to the demand that has waited longest, so that none starves. */
+  static final int OLDEST_FIRST_INTERVAL = 8;
+
   private final Map<String, Holder> holders = new HashMap<>();
-  private final Deque<WaitingDemand> waiting = new ArrayDeque<>();
+  private final Set<WaitingDemand> waiting = new LinkedHashSet<>();
   private int recallTurn;
+  private int grantsSinceOldest;
+  private long nextSequence;
 
   /** The permits of one VM. */
   private static final class Holder {
@@ -118,7 +126,8 @@
    */
   public record Answer(String vm, PermitDemand demand, boolean granted) {}
 
-  private record WaitingDemand(String vm, PermitDemand demand, long deadlineMillis) {}
+  private record WaitingDemand(
+      long sequence, String vm, PermitDemand demand, long deadlineMillis) {}
 
   /**
    * Adds a demand, which {@link #answerDemands} answers at once or after at most {@link
@@ -129,11 +138,13 @@
    * @param now the current time on the leader's monotonic clock, in milliseconds
    */
   public void addDemand(String vm, PermitDemand demand, long now) {
-    waiting.add(new WaitingDemand(vm, demand, now + MAX_WAIT_MILLIS));
+    waiting.add(new WaitingDemand(nextSequence++, vm, demand, now + MAX_WAIT_MILLIS));
   }
 
   /**
-   * Grants free permits in the order of the demands, and rejects demands that have waited too long.
+   * Grants free permits by priority, within a priority in the order of the demands, and rejects
+   * demands that have waited too long. One in {@link #OLDEST_FIRST_INTERVAL} grants goes to the
+   * demand that has waited longest.
    *
    * @param vms the names of the VMs that may have connections to servers
    * @param now the current time on the leader's monotonic clock, in milliseconds
@@ -145,8 +156,17 @@
     }
     holders.keySet().retainAll(vms);
     Map<String, Integer> free = new HashMap<>();
-    for (Iterator<WaitingDemand> iterator = waiting.iterator(); iterator.hasNext(); ) {
-      WaitingDemand next = iterator.next();
+    List<WaitingDemand> byPriority = new ArrayList<>(waiting);
+    byPriority.sort(comparingInt(each -> each.demand().effectivePriority()));
+    Iterator<WaitingDemand> nextByPriority = byPriority.iterator();
+    Iterator<WaitingDemand> nextByAge = List.copyOf(waiting).iterator();
+    Set<WaitingDemand> considered = new HashSet<>();
+    while (considered.size() < byPriority.size()) {
+      boolean isOldestDue = grantsSinceOldest >= OLDEST_FIRST_INTERVAL - 1;
+      WaitingDemand next = (isOldestDue ? nextByAge : nextByPriority).next();
+      if (!considered.add(next)) {
+        continue;
+      }
       PermitDemand demand = next.demand();
       int left =
           free.computeIfAbsent(
@@ -154,9 +174,10 @@
       boolean granted = left > 0 && tryGrant(next.vm(), demand);
       if (granted) {
         free.put(demand.server(), left - 1);
+        grantsSinceOldest = isOldestDue ? 0 : grantsSinceOldest + 1;
       }
       if (granted || now >= next.deadlineMillis()) {
-        iterator.remove();
+        waiting.remove(next);
         answers.add(new Answer(next.vm(), demand, granted));
       }
     }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetPermits.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetPermits.java
@@ -65,11 +65,20 @@
 
   @Override
   public void requestPermit(String server, int capacity) {
+    request(server, capacity, null);
+  }
+
+  @Override
+  public void requestPermit(String server, int capacity, int priority) {
+    request(server, capacity, priority);
+  }
+
+  private void request(String server, int capacity, @Nullable Integer priority) {
     if (!permits.isPermitRequired(server) || !mayServeCustomers()) {
       pauseBeforeRetry();
       return;
     }
-    PermitDemand demand = permits.createDemand(server, capacity);
+    PermitDemand demand = permits.createDemand(server, capacity, priority);
     boolean granted =
         link.request(
                 link.assumedLeader(), new PeerMessage.PermitRequest(demand), ANSWER_TIMEOUT_MILLIS)
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/ConnectionPermits.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/ConnectionPermits.java
@@ -40,4 +40,16 @@
    * @param capacity the number of connections that all VMs together may open to the server
    */
   void requestPermit(String server, int capacity);
+
+  /**
+   * Requests another permit for a request of a priority. Blocks the calling (virtual) thread until
+   * the request completes, and for a short pause if no permit is granted.
+   *
+   * @param server the name of the server
+   * @param capacity the number of connections that all VMs together may open to the server
+   * @param priority the priority of the request that waits for the connection; 0 is the highest
+   */
+  default void requestPermit(String server, int capacity, int priority) {
+    requestPermit(server, capacity);
+  }
 }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
@@ -35,6 +35,7 @@
   private final SlotQueue<TicketFuture> queue;
   private final Deque<PooledSession> idle = new ArrayDeque<>();
   private final ConnectionPermits permits;
+  private final QueuePolicy policy;
   private volatile int share;
   private volatile int capacity;
   private boolean closed;
@@ -52,6 +53,7 @@
     this.connector = connector;
     this.clock = clock;
     this.permits = permits;
+    this.policy = policy;
     this.share = share;
     this.capacity = capacity;
     this.queue = new SlotQueue<>(policy, slots(share), maxQueued);
@@ -105,7 +107,7 @@
     long acquiredMillis = clock.millis();
     PooledSession session = null;
     try {
-      session = takeOrConnect(profile.customer(), values, slotDeadlineMillis, deadlineMillis);
+      session = takeOrConnect(profile, values, slotDeadlineMillis, deadlineMillis);
     } finally {
       if (session == null) {
         TicketFuture.wake(queue.releaseUnused(profile, clock.millis()));
@@ -137,13 +139,17 @@
   }
 
   private PooledSession takeOrConnect(
-      String customer, Map<String, String> values, long slotDeadlineMillis, long deadlineMillis)
+      RequestProfile profile,
+      Map<String, String> values,
+      long slotDeadlineMillis,
+      long deadlineMillis)
       throws BackendException, RefusalException {
+    String customer = profile.customer();
     PooledSession reusable = takeIdle(customer, values);
     if (reusable != null) {
       return reusable;
     }
-    awaitPermit(slotDeadlineMillis);
+    awaitPermit(profile.priority(), slotDeadlineMillis);
     ServerConnection connection = null;
     try {
       long timeout = Math.clamp(deadlineMillis - clock.millis(), 1, CONNECT_TIMEOUT_MILLIS);
@@ -160,7 +166,7 @@
    * Waits until a connection may be opened, and closes the least recently used idle connection to
    * make room if there is one.
    */
-  private void awaitPermit(long untilMillis) throws RefusalException {
+  private void awaitPermit(int priority, long untilMillis) throws RefusalException {
     while (!permits.tryUse(server.server(), share)) {
       PooledSession evicted = pollOldestIdle();
       if (evicted != null) {
@@ -168,11 +174,19 @@
       } else if (clock.millis() >= untilMillis) {
         throw new RefusalException(ResultCode.WAIT_LIMIT_REACHED);
       } else {
-        permits.requestPermit(server.server(), capacity);
+        requestPermit(priority);
       }
     }
   }
 
+  private void requestPermit(int priority) {
+    if (policy instanceof QueuePolicy.Priority) {
+      permits.requestPermit(server.server(), capacity, priority);
+    } else {
+      permits.requestPermit(server.server(), capacity);
+    }
+  }
+
   private synchronized @Nullable PooledSession takeIdle(
       String customer, Map<String, String> values) {
     PooledSession best = null;
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/peer/FrameCodecTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/peer/FrameCodecTests.java
@@ -3,11 +3,14 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.parsetools.RecordParser;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import org.cowslipdale.config.codec.Codecs;
+import org.cowslipdale.core.permit.PermitDemand;
 import org.cowslipdale.core.view.View;
 import org.cowslipdale.core.view.ViewCommand;
 import org.cowslipdale.daemon.peer.PeerMessage.LeaseReply;
@@ -38,6 +41,21 @@
     assertThat(((LeaseReply) received.message()).update(), is(update));
   }
 
+  /** The fields that VMs of earlier versions know must stay in their places. */
+  @Test
+  void demandOfEarlierVersionDecodesWithoutPriority() throws IOException {
+    PermitDemand demand = new PermitDemand(7, 3, "bonds-1", 70, 0);
+    ObjectMapper codec = Codecs.compactMessagePack(PeerMessage.class);
+    byte[] earlier = codec.writeValueAsBytes(List.of(7L, 3L, "bonds-1", 70));
+    byte[] later = codec.writeValueAsBytes(List.of(7L, 3L, "bonds-1", 70, 0, "added later"));
+
+    assertThat(
+        codec.readValue(earlier, PermitDemand.class), is(new PermitDemand(7, 3, "bonds-1", 70)));
+    assertThat(codec.readValue(later, PermitDemand.class), is(demand));
+    PeerFrame received = transfer(new PeerFrame(4, false, new PeerMessage.PermitRequest(demand)));
+    assertThat(((PeerMessage.PermitRequest) received.message()).demand(), is(demand));
+  }
+
   private static PeerFrame transfer(PeerFrame frame) throws IOException {
     List<Buffer> payloads = new ArrayList<>();
     RecordParser parser = FrameCodec.parser(payloads::add, () -> {});
