Decide in one place what becomes of a statement that no server can run

Cause: the retry loop holds a statement until its limit whatever the cause, so a caller learns only at the end that it was never going to run.

Change: StatementAdmission decides from the cause, since when it lasts, objective, limit and time: run, wait until, or refuse with a code and a retry-after. A cause is expected to last for half as long again as it has lasted; what then misses its limit is refused at once. Retries of a priority are spread over a time of their own, highest first. Event admission-refused, counter cowslipdale.admission.refused. Only with priority-admission.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.vertx.core.Future;
@@ -138,6 +139,9 @@
     Gauge.builder("cowslipdale.sessions.busy", server, s -> s.busyCount())
         .description("Sessions with a statement or a transaction in progress")
         .register(meters);
+    FunctionCounter.builder("cowslipdale.admission.refused", server, s -> s.refusedCount())
+        .description("Statements that admission by priority refused without running them")
+        .register(meters);
     sessionServer = server;
     endpoints =
         adapter.endpoints(vertx, settings, new DaemonServices(server, control, readiness::isReady));
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import org.cowslipdale.config.settings.Feature;
 import org.cowslipdale.core.admission.RequestProfile;
 import org.cowslipdale.core.backend.BackendServer;
 import org.cowslipdale.core.result.Outcome;
@@ -77,9 +78,21 @@
   private final SessionContext context;
   private final PrimaryChecker checker;
 
+  /** Decides on statements that no server can run now; null without admission by priority. */
+  private final @Nullable StatementAdmitter admitter;
+
   SessionRunner(SessionContext context, PrimaryChecker checker) {
     this.context = requireNonNull(context, "context");
     this.checker = requireNonNull(checker, "checker");
+    this.admitter =
+        context.features().contains(Feature.PRIORITY_ADMISSION)
+            ? new StatementAdmitter(context.clock())
+            : null;
+  }
+
+  /** Returns the number of statements that admission by priority refused. */
+  long refusedCount() {
+    return admitter == null ? 0 : admitter.refusedCount();
   }
 
   /**
@@ -272,6 +285,9 @@
           case RunOn target -> {
             Optional<T> result = tryServer(target);
             if (result.isPresent()) {
+              if (admitter != null) {
+                admitter.recordRun(request);
+              }
               return result.get();
             }
             handleRejection(target);
@@ -304,7 +320,9 @@
       } catch (RefusalException e) {
         lastFailureCode = e.code();
         if (request.requiresPrimary()) {
-          throw e;
+          throw admitter == null || e.code() == ResultCode.SHUTTING_DOWN
+              ? e
+              : admitter.queueRefusal(request, e.code());
         }
         return Optional.empty();
       }
@@ -465,6 +483,10 @@
     }
 
     private void awaitRoute(SessionTarget.Wait wait) throws RefusalException {
+      if (admitter != null) {
+        awaitAdmission(admitter, wait.code(), wait.untilMillis());
+        return;
+      }
       long waitMillis = wait.untilMillis() - context.clock().millis();
       if (waitMillis <= 0) {
         pauseBeforeRetry(wait.code());
@@ -474,7 +496,20 @@
       triedServers.clear();
     }
 
+    private void awaitAdmission(StatementAdmitter admission, ResultCode code, long untilMillis)
+        throws RefusalException {
+      long pause = retryDelayMillis / 2 + ThreadLocalRandom.current().nextLong(retryDelayMillis);
+      long latestStart = request.deadlineMillis() - MIN_RUN_MILLIS;
+      sleep(admission.waitMillis(request, code, untilMillis, latestStart, pause + 1));
+      retryDelayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, retryDelayMillis * 2);
+      triedServers.clear();
+    }
+
     private void pauseBeforeRetry(ResultCode code) throws RefusalException {
+      if (admitter != null) {
+        awaitAdmission(admitter, code, Long.MIN_VALUE);
+        return;
+      }
       long jittered = retryDelayMillis / 2 + ThreadLocalRandom.current().nextLong(retryDelayMillis);
       sleep(Math.min(jittered + 1, remainingWaitMillis(code)));
       retryDelayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, retryDelayMillis * 2);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionServer.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionServer.java
@@ -60,6 +60,11 @@
     return (int) sessions.stream().filter(CallerSession::isBusy).count();
   }
 
+  /** Returns the number of statements that admission by priority refused. */
+  public long refusedCount() {
+    return runner.refusedCount();
+  }
+
   /** Closes the idle sessions, so that their callers open new ones at other VMs. */
   public void closeIdle() {
     sessions.stream().filter(session -> !session.isBusy()).forEach(CallerSession::closeWhenIdle);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/telemetry/LogEvent.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/telemetry/LogEvent.java
@@ -16,6 +16,8 @@
   STATEMENT_DONE("statement-done"),
   /** A statement was rejected or its outcome is unknown. */
   STATEMENT_REFUSED("statement-refused"),
+  /** A statement was refused before its limit, because it was not expected to run in time. */
+  ADMISSION_REFUSED("admission-refused"),
   /** A server rejected a statement, which is retried if its time limit allows. */
   SERVER_DECLINED("server-declined"),
   /** No connection to a server could be opened. */
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/PriorityAdmissionTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/PriorityAdmissionTests.java
@@ -4,6 +4,8 @@
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.matchesPattern;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -12,6 +14,7 @@
 import java.util.concurrent.CountDownLatch;
 import org.cowslipdale.config.settings.Feature;
 import org.cowslipdale.core.result.RefusalException;
+import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.routing.WriteFencing;
 import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.statement.Statement;
@@ -96,6 +99,22 @@
     assertThat(servers.runs().getFirst(), is("bonds-1 high"));
   }
 
+  /** Guards against a statement that is held until its limit while its server stays busy. */
+  @Test
+  void refusesBeforeTheLimitAndSaysWhenToRetry() {
+    servers.rejectAsBusy(true);
+    long started = fixture.clock().millis();
+
+    RefusalException refusal =
+        assertThrows(RefusalException.class, () -> runner.run(request("refused", 0)));
+
+    assertThat(fixture.clock().millis() - started, is(lessThan(LIMIT_MILLIS * 3 / 4)));
+    assertThat(refusal.code(), is(ResultCode.OVERLOADED));
+    assertThat(refusal.getMessage(), matchesPattern(".* Retry after [0-9]+ ms\\."));
+    assertThat(runner.refusedCount(), is(1L));
+    assertThat(servers.runs(), is(List.of()));
+  }
+
   private void start(String id, int priority) {
     threads.add(
         Thread.startVirtualThread(
