Merge admission by priority

Session pools take a RequestProfile from ConnectionDemand; statements that a gateway runs for other VMs share one class of service times, because requests between VMs do not name the route.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionDemand.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionDemand.java
@@ -17,6 +17,7 @@
  * @param triedServers the names of the servers that have already rejected it
  * @param homeRegions the regions in which its data may be handled
  * @param sendLimit limits how often statements are sent to a server
+ * @param priority the priority of its route; 0 is the highest
  */
 public record SessionDemand(
     String customer,
@@ -25,7 +26,8 @@
     LogPosition sessionPosition,
     Set<String> triedServers,
     HomeRegions homeRegions,
-    SendLimit sendLimit) {
+    SendLimit sendLimit,
+    int priority) {
 
   /** Copies the set and checks that no component is null. */
   public SessionDemand {
@@ -38,7 +40,8 @@
   }
 
   /**
-   * Creates the requirements of a statement that no limit and no home region restricts.
+   * Creates the requirements of a statement of the highest priority that no limit and no home
+   * region restricts.
    *
    * @param customer the name of the customer whose connection is used
    * @param write whether the statement or transaction may write
@@ -59,6 +62,7 @@
         sessionPosition,
         triedServers,
         HomeRegions.EVERYWHERE,
-        SendLimit.NONE);
+        SendLimit.NONE,
+        0);
   }
 }
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterColdServersTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterColdServersTests.java
@@ -139,7 +139,8 @@
         LogPosition.ZERO,
         Set.of(),
         HomeRegions.EVERYWHERE,
-        (server, now) -> notBefore.getOrDefault(server.name(), Long.MIN_VALUE));
+        (server, now) -> notBefore.getOrDefault(server.name(), Long.MIN_VALUE),
+        0);
   }
 
   private static String serverName(SessionTarget target) {
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterHomeRegionsTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterHomeRegionsTests.java
@@ -116,7 +116,7 @@
     HomeRegions none = new HomeRegions(true, Set.of());
     SessionDemand demand =
         new SessionDemand(
-            "acme", false, BOUNDED_AGE, LogPosition.ZERO, Set.of(), none, SendLimit.NONE);
+            "acme", false, BOUNDED_AGE, LogPosition.ZERO, Set.of(), none, SendLimit.NONE, 0);
 
     assertThat(route(demand, VALID_LEASE), is(REFUSED_AT_ONCE));
   }
@@ -154,7 +154,8 @@
             LogPosition.ZERO,
             Set.of("bonds-3"),
             new HomeRegions(true, Set.of("south")),
-            SendLimit.NONE);
+            SendLimit.NONE,
+            0);
 
     assertThat(
         route(demand, VALID_LEASE),
@@ -206,7 +207,8 @@
         LogPosition.ZERO,
         Set.of(),
         new HomeRegions(true, Set.of(region)),
-        SendLimit.NONE);
+        SendLimit.NONE,
+        0);
   }
 
   private static String serverName(SessionTarget target) {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.vertx.core.Future;
@@ -12,7 +13,10 @@
 import java.util.Set;
 import org.cowslipdale.config.settings.DaemonSettings;
 import org.cowslipdale.config.settings.Feature;
+import org.cowslipdale.core.admission.QueuePolicy;
 import org.cowslipdale.core.backend.BackendRegistry;
+import org.cowslipdale.core.backend.BackoffPolicy;
+import org.cowslipdale.core.backend.PriorityBackoff;
 import org.cowslipdale.core.backend.ServerBackoff;
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.failover.PrimaryTrafficMonitor;
@@ -100,24 +104,30 @@
 
   @Override
   public void initialize(ControlPlane control) {
+    Set<Feature> features = adapter.features(settings);
     SessionPools sessionPools =
         new SessionPools(
             connector,
             clock,
+            features.contains(Feature.PRIORITY_ADMISSION)
+                ? new QueuePolicy.Priority()
+                : new QueuePolicy.Fair(),
             settings.limits().maxQueued(),
             health,
             control.connectionPermits(server -> pools().closeIdle(server)));
     pools = sessionPools;
     ConnectionMeters.register(meters, sessionPools.usage());
-    Set<Feature> features = adapter.features(settings);
     ConnectionSource connections =
         features.contains(Feature.CONNECTION_GATEWAYS)
             ? createGatewayConnections(control, sessionPools)
             : sessionPools;
     ReplicaLagTracker lagTracker = new ReplicaLagTracker();
-    ServerBackoff backoff = new ServerBackoff(new Random());
     PlacementCounters placementCounters = new PlacementCounters();
     placementCounters.register(meters, coldStartLimit);
+    BackoffPolicy backoff =
+        features.contains(Feature.PRIORITY_ADMISSION)
+            ? new PriorityBackoff(new Random())
+            : new ServerBackoff(new Random());
     SessionContext context =
         new SessionContext(
             views,
@@ -150,6 +160,9 @@
     Gauge.builder("cowslipdale.sessions.busy", server, s -> s.busyCount())
         .description("Sessions with a statement or a transaction in progress")
         .register(meters);
+    FunctionCounter.builder("cowslipdale.admission.refused", server, s -> s.refusedCount())
+        .description("Statements that admission by priority refused without running them")
+        .register(meters);
     sessionServer = server;
     endpoints =
         adapter.endpoints(
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/ConnectionDemand.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/ConnectionDemand.java
@@ -4,6 +4,7 @@
 
 import java.util.Map;
 import java.util.Set;
+import org.cowslipdale.core.admission.RequestProfile;
 import org.cowslipdale.core.backend.BackendServer;
 import org.cowslipdale.core.statement.Statement.PreparedStatement;
 import org.cowslipdale.daemon.version.CurrentView;
@@ -14,8 +15,7 @@
  *
  * @param server the server
  * @param current the view and the lease of the VM
- * @param customer the customer on whose behalf the connection is used
- * @param priority the priority of the route
+ * @param profile the customer on whose behalf the connection is used, and what decides its order
  * @param homeRegions the regions in which the data of the statement may be handled; empty if it is
  *     not restricted
  * @param values the values of the session, which do not change while the demand is in use
@@ -29,8 +29,7 @@
 public record ConnectionDemand(
     BackendServer server,
     CurrentView current,
-    String customer,
-    int priority,
+    RequestProfile profile,
     Set<String> homeRegions,
     Map<String, String> values,
     @Nullable PreparedStatement prepared,
@@ -43,11 +42,19 @@
   public ConnectionDemand {
     requireNonNull(server, "server");
     requireNonNull(current, "current");
-    requireNonNull(customer, "customer");
+    requireNonNull(profile, "profile");
     homeRegions = Set.copyOf(homeRegions);
     requireNonNull(values, "values");
   }
 
+  String customer() {
+    return profile.customer();
+  }
+
+  int priority() {
+    return profile.priority();
+  }
+
   String database() {
     return server.announcement().database();
   }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/GatewayService.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/GatewayService.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
+import org.cowslipdale.core.admission.RequestProfile;
 import org.cowslipdale.core.backend.BackendRegistry;
 import org.cowslipdale.core.backend.BackendServer;
 import org.cowslipdale.core.control.LeaseTimings;
@@ -62,6 +63,9 @@
    */
   private static final long MIN_UNANSWERED_MILLIS = 400;
 
+  /** Relayed statements share a mean service time, because requests do not name their route. */
+  private static final String RELAYED_CLASS = "relayed";
+
   private static final Logger LOG = LoggerFactory.getLogger(GatewayService.class);
 
   private final SessionPools pools;
@@ -233,8 +237,11 @@
         new ConnectionDemand(
             server.get(),
             current,
-            request.customer(),
-            request.priority(),
+            new RequestProfile(
+                request.customer(),
+                Math.max(0, request.priority()),
+                receivedMillis + request.limitMillis(),
+                RELAYED_CLASS),
             Set.of(),
             request.values(),
             request.prepared(),
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
@@ -5,6 +5,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import org.cowslipdale.core.admission.QueuePolicy;
+import org.cowslipdale.core.admission.RequestProfile;
 import org.cowslipdale.core.admission.SlotQueue;
 import org.cowslipdale.core.permit.PermitIssuer;
 import org.cowslipdale.core.result.RefusalException;
@@ -23,11 +24,11 @@
 /**
  * The pool of this VM's connections with session state to one backend server.
  *
- * <p>A request first waits for a slot in fair order. There are as many slots as the VM may open
- * connections without permits, or {@link PermitIssuer#MAX_PERMITS_PER_VM} if all of them require
- * permits. The request then uses the idle connection of its customer that needs the fewest commands
- * to get the session's values. If there is none, it opens a connection, and closes an idle one
- * first if the limit is reached.
+ * <p>A request first waits for a slot, in the order of the queue policy. There are as many slots as
+ * the VM may open connections without permits, or {@link PermitIssuer#MAX_PERMITS_PER_VM} if all of
+ * them require permits. The request then uses the idle connection of its customer that needs the
+ * fewest commands to get the session's values. If there is none, it opens a connection, and closes
+ * an idle one first if the limit is reached.
  */
 final class SessionPool implements AutoCloseable {
 
@@ -40,6 +41,7 @@
   private final Deque<PooledSession> idle = new ArrayDeque<>();
   private final ConnectionPermits permits;
   private final ConnectionUsage usage;
+  private final QueuePolicy policy;
   private volatile int share;
   private volatile int capacity;
   private boolean closed;
@@ -52,15 +54,17 @@
       ConnectionUsage usage,
       int share,
       int capacity,
+      QueuePolicy policy,
       int maxQueued) {
     this.server = server;
     this.connector = connector;
     this.clock = clock;
     this.permits = permits;
     this.usage = usage;
+    this.policy = policy;
     this.share = share;
     this.capacity = capacity;
-    this.queue = new SlotQueue<>(new QueuePolicy.Fair(), slots(share), maxQueued);
+    this.queue = new SlotQueue<>(policy, slots(share), maxQueued);
   }
 
   ServerRef server() {
@@ -102,19 +106,22 @@
    * @throws BackendException if no connection can be opened; nothing was sent
    */
   Checkout acquire(
-      String customer, Map<String, String> values, long slotDeadlineMillis, long deadlineMillis)
+      RequestProfile profile,
+      Map<String, String> values,
+      long slotDeadlineMillis,
+      long deadlineMillis)
       throws RefusalException, BackendException {
-    TicketFuture.awaitSlot(queue, customer, slotDeadlineMillis, clock.millis());
+    TicketFuture.awaitSlot(queue, profile, slotDeadlineMillis, clock.millis());
     long acquiredMillis = clock.millis();
     PooledSession session = null;
     try {
-      session = takeOrConnect(customer, values, slotDeadlineMillis, deadlineMillis);
+      session = takeOrConnect(profile, values, slotDeadlineMillis, deadlineMillis);
     } finally {
       if (session == null) {
-        TicketFuture.wake(queue.release(0, clock.millis()));
+        TicketFuture.wake(queue.releaseUnused(profile, clock.millis()));
       }
     }
-    return new PooledCheckout(session, acquiredMillis);
+    return new PooledCheckout(session, profile, acquiredMillis);
   }
 
   @Override
@@ -140,13 +147,17 @@
   }
 
   private PooledSession takeOrConnect(
-      String customer, Map<String, String> values, long slotDeadlineMillis, long deadlineMillis)
+      RequestProfile profile,
+      Map<String, String> values,
+      long slotDeadlineMillis,
+      long deadlineMillis)
       throws BackendException, RefusalException {
+    String customer = profile.customer();
     PooledSession reusable = takeIdle(customer, values);
     if (reusable != null) {
       return reusable;
     }
-    awaitPermit(slotDeadlineMillis);
+    awaitPermit(profile.priority(), slotDeadlineMillis);
     ServerConnection connection = null;
     try {
       long timeout = Math.clamp(deadlineMillis - clock.millis(), 1, CONNECT_TIMEOUT_MILLIS);
@@ -164,7 +175,7 @@
    * Waits until a connection may be opened, and closes the least recently used idle connection to
    * make room if there is one.
    */
-  private void awaitPermit(long untilMillis) throws RefusalException {
+  private void awaitPermit(int priority, long untilMillis) throws RefusalException {
     while (!permits.tryUse(server.server(), share)) {
       PooledSession evicted = pollOldestIdle();
       if (evicted != null) {
@@ -172,11 +183,19 @@
       } else if (clock.millis() >= untilMillis) {
         throw new RefusalException(ResultCode.WAIT_LIMIT_REACHED);
       } else {
-        permits.requestPermit(server.server(), capacity);
+        requestPermit(priority);
       }
     }
   }
 
+  private void requestPermit(int priority) {
+    if (policy instanceof QueuePolicy.Priority) {
+      permits.requestPermit(server.server(), capacity, priority);
+    } else {
+      permits.requestPermit(server.server(), capacity);
+    }
+  }
+
   private synchronized @Nullable PooledSession takeIdle(
       String customer, Map<String, String> values) {
     PooledSession best = null;
@@ -209,12 +228,14 @@
   private final class PooledCheckout implements Checkout {
 
     private final PooledSession session;
+    private final RequestProfile profile;
     private final long acquiredMillis;
     private boolean clean;
     private boolean returned;
 
-    PooledCheckout(PooledSession session, long acquiredMillis) {
+    PooledCheckout(PooledSession session, RequestProfile profile, long acquiredMillis) {
       this.session = session;
+      this.profile = profile;
       this.acquiredMillis = acquiredMillis;
     }
 
@@ -265,12 +286,11 @@
       returned = true;
       long now = clock.millis();
       if (clean && session.isUsable() && returnToPool()) {
-        TicketFuture.wake(
-            queue.releaseConnection(session.customer(), (double) (now - acquiredMillis), now));
+        TicketFuture.wake(queue.releaseConnection(profile, (double) (now - acquiredMillis), now));
         return;
       }
       closeAndRecord(session);
-      TicketFuture.wake(queue.release((double) (now - acquiredMillis), now));
+      TicketFuture.wake(queue.release(profile, (double) (now - acquiredMillis), now));
     }
 
     private boolean returnToPool() {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import org.cowslipdale.core.admission.QueuePolicy;
 import org.cowslipdale.core.backend.BackendServer;
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.permit.ConnectionShare;
@@ -24,17 +25,37 @@
 
   private final SessionConnector connector;
   private final VmClock clock;
+  private final QueuePolicy policy;
   private final int maxQueued;
   private final ConnectionPermits permits;
   private final ServerHealth health;
   private final ConnectionUsage usage = new ConnectionUsage();
   private final ConcurrentMap<String, SessionPool> pools = new ConcurrentHashMap<>();
 
+  /**
+   * Creates pools with fair queues.
+   *
+   * @param connector the connector that opens connections
+   * @param clock the VM's clock
+   * @param maxQueued the maximum number of requests that wait for one server
+   * @param health the failures recorded for each server
+   * @param permits the limit of the connections that this VM may open
+   */
+  public SessionPools(
+      SessionConnector connector,
+      VmClock clock,
+      int maxQueued,
+      ServerHealth health,
+      ConnectionPermits permits) {
+    this(connector, clock, new QueuePolicy.Fair(), maxQueued, health, permits);
+  }
+
   /**
    * Creates the pools.
    *
    * @param connector the connector that opens connections
    * @param clock the VM's clock
+   * @param policy the order in which requests get slots
    * @param maxQueued the maximum number of requests that wait for one server
    * @param health the failures recorded for each server
    * @param permits the limit of the connections that this VM may open
@@ -42,11 +63,13 @@
   public SessionPools(
       SessionConnector connector,
       VmClock clock,
+      QueuePolicy policy,
       int maxQueued,
       ServerHealth health,
       ConnectionPermits permits) {
     this.connector = requireNonNull(connector, "connector");
     this.clock = requireNonNull(clock, "clock");
+    this.policy = requireNonNull(policy, "policy");
     this.maxQueued = maxQueued;
     this.health = requireNonNull(health, "health");
     this.permits = requireNonNull(permits, "permits");
@@ -61,7 +84,7 @@
   public Checkout acquire(ConnectionDemand demand) throws RefusalException, BackendException {
     return pool(demand.server(), demand.current())
         .acquire(
-            demand.customer(),
+            demand.profile(),
             demand.values(),
             demand.slotDeadlineMillis(),
             demand.deadlineMillis());
@@ -145,7 +168,7 @@
             pool.close();
           }
           return new SessionPool(
-              required, connector, clock, permits, usage, share, capacity, maxQueued);
+              required, connector, clock, permits, usage, share, capacity, policy, maxQueued);
         });
   }
 
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -9,6 +9,8 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.ThreadLocalRandom;
+import org.cowslipdale.config.settings.Feature;
+import org.cowslipdale.core.admission.RequestProfile;
 import org.cowslipdale.core.backend.BackendServer;
 import org.cowslipdale.core.placement.HomeRegions;
 import org.cowslipdale.core.result.Outcome;
@@ -28,6 +30,7 @@
 import org.cowslipdale.core.view.Database;
 import org.cowslipdale.core.view.DatabaseState;
 import org.cowslipdale.core.view.Freshness;
+import org.cowslipdale.core.view.SessionRoute;
 import org.cowslipdale.core.view.View;
 import org.cowslipdale.daemon.connection.BackendException;
 import org.cowslipdale.daemon.telemetry.DecisionLog;
@@ -84,9 +87,21 @@
   private final SessionContext context;
   private final PrimaryChecker checker;
 
+  /** Decides on statements that no server can run now; null without admission by priority. */
+  private final @Nullable StatementAdmitter admitter;
+
   SessionRunner(SessionContext context, PrimaryChecker checker) {
     this.context = requireNonNull(context, "context");
     this.checker = requireNonNull(checker, "checker");
+    this.admitter =
+        context.features().contains(Feature.PRIORITY_ADMISSION)
+            ? new StatementAdmitter(context.clock())
+            : null;
+  }
+
+  /** Returns the number of statements that admission by priority refused. */
+  long refusedCount() {
+    return admitter == null ? 0 : admitter.refusedCount();
   }
 
   /**
@@ -128,6 +143,22 @@
       return !isWrite() && !(statement instanceof Statement.Begin);
     }
 
+    int priority() {
+      return Math.max(0, operation.route().priority());
+    }
+
+    /** Returns the properties that decide when the statement is dispatched. */
+    RequestProfile profile() {
+      SessionRoute route = operation.route();
+      String kind = statement instanceof Statement.Begin ? "transaction" : "statement";
+      long receivedMillis = deadlineMillis - route.statementLimitMillis();
+      return new RequestProfile(
+          operation.customer(),
+          priority(),
+          receivedMillis + route.targetMillis(),
+          route.name() + "/" + kind + (isWrite() ? "/write" : "/read"));
+    }
+
     boolean isWrite() {
       return switch (statement) {
         case Statement.Access access -> access.write();
@@ -337,6 +368,9 @@
           case RunOn target -> {
             Optional<T> result = tryServer(target);
             if (result.isPresent()) {
+              if (admitter != null) {
+                admitter.recordRun(request);
+              }
               return result.get();
             }
             handleRejection(target);
@@ -360,7 +394,9 @@
       } catch (RefusalException e) {
         lastFailureCode = e.code();
         if (request.requiresPrimary()) {
-          throw e;
+          throw admitter == null || e.code() == ResultCode.SHUTTING_DOWN
+              ? e
+              : admitter.queueRefusal(request, e.code());
         }
         return Optional.empty();
       }
@@ -396,6 +432,14 @@
                       : ResultCode.NO_LEASE;
           return Optional.empty();
         }
+        if (!context
+            .backoff()
+            .trySend(target.server().name(), request.priority(), context.clock().millis())) {
+          checkout.markClean();
+          checkout.close();
+          serverBusy = true;
+          return Optional.empty();
+        }
         sent = true;
         return attempt(confirmed.get(), checkout);
       } catch (RelayException e) {
@@ -444,8 +488,7 @@
       return new ConnectionDemand(
           target.server(),
           context.views().get(),
-          request.operation().customer(),
-          request.operation().route().priority(),
+          request.profile(),
           homeRegions(context.views().get()).regions(),
           request.values(),
           request.prepared(),
@@ -493,7 +536,8 @@
           request.lastCommittedPosition(),
           triedServers,
           homeRegions(current),
-          (server, now) -> context.coldStartLimit().notBeforeMillis(server, current.view(), now));
+          (server, now) -> context.coldStartLimit().notBeforeMillis(server, current.view(), now),
+          request.priority());
     }
 
     /** Counts the statement against the limit of a cold server; returns whether it may be sent. */
@@ -541,7 +585,7 @@
           e.failure().filter(failure -> failure == ServerFailure.TOO_MANY_CONNECTIONS).isPresent();
       if (tooManyConnections) {
         serverBusy = true;
-        context.backoff().rejected(server, context.clock().millis());
+        context.backoff().rejected(server, request.priority(), context.clock().millis());
       } else {
         context.health().failed(server, context.clock().millis());
         if (target.asPrimary()) {
@@ -632,6 +676,10 @@
     }
 
     private void awaitRoute(SessionTarget.Wait wait) throws RefusalException {
+      if (admitter != null) {
+        awaitAdmission(admitter, wait.code(), wait.untilMillis());
+        return;
+      }
       long waitMillis = wait.untilMillis() - context.clock().millis();
       if (waitMillis <= 0) {
         pauseBeforeRetry(wait.code());
@@ -690,7 +738,20 @@
           .write();
     }
 
+    private void awaitAdmission(StatementAdmitter admission, ResultCode code, long untilMillis)
+        throws RefusalException {
+      long pause = retryDelayMillis / 2 + ThreadLocalRandom.current().nextLong(retryDelayMillis);
+      long latestStart = request.deadlineMillis() - MIN_RUN_MILLIS;
+      sleep(admission.waitMillis(request, code, untilMillis, latestStart, pause + 1));
+      retryDelayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, retryDelayMillis * 2);
+      triedServers.clear();
+    }
+
     private void pauseBeforeRetry(ResultCode code) throws RefusalException {
+      if (admitter != null) {
+        awaitAdmission(admitter, code, Long.MIN_VALUE);
+        return;
+      }
       long jittered = retryDelayMillis / 2 + ThreadLocalRandom.current().nextLong(retryDelayMillis);
       sleep(Math.min(jittered + 1, remainingWaitMillis(code)));
       retryDelayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, retryDelayMillis * 2);
@@ -828,9 +889,12 @@
     String database = request.operation().route().database();
     context.health().succeeded(target.server().name());
     if (reply.failure() == ServerFailure.BUSY) {
-      context.backoff().rejected(target.server().name(), context.clock().millis());
+      context
+          .backoff()
+          .rejected(target.server().name(), request.priority(), context.clock().millis());
     } else if (reply.failure() == null) {
-      context.backoff().served(target.server().name(), context.clock().millis());
+      long now = context.clock().millis();
+      context.backoff().served(target.server().name(), request.priority(), now - sentMillis, now);
     }
     if (target.minPosition() != null && reply.failure() == ServerFailure.BEHIND) {
       LogPosition reached = reply.position() == null ? LogPosition.ZERO : reply.position();
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/telemetry/LogEvent.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/telemetry/LogEvent.java
@@ -22,6 +22,8 @@
   COLD_SERVER_LIMITED("cold-server-limited"),
   /** The connection of a client was closed because it exceeded a limit. */
   CLIENT_CLOSED("client-closed"),
+  /** A statement was refused before its limit, because it was not expected to run in time. */
+  ADMISSION_REFUSED("admission-refused"),
   /** A server rejected a statement, which is retried if its time limit allows. */
   SERVER_DECLINED("server-declined"),
   /** No connection to a server could be opened. */
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/PeerGatewayLinkTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/control/PeerGatewayLinkTests.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import org.cowslipdale.core.gateway.GatewayReply;
 import org.cowslipdale.core.gateway.GatewayRequest;
+import org.cowslipdale.daemon.client.TestGuards;
 import org.cowslipdale.daemon.peer.PeerHandler;
 import org.cowslipdale.daemon.peer.PeerMessage;
 import org.cowslipdale.daemon.peer.PeerNetwork;
@@ -100,7 +101,8 @@
         vertx,
         new VmClock(),
         vm -> Optional.of(address),
-        new PeerTraffic(new SimpleMeterRegistry()));
+        new PeerTraffic(new SimpleMeterRegistry()),
+        TestGuards.create(vertx));
   }
 
   private static int freePort() throws IOException {
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/peer/FrameCodecTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/peer/FrameCodecTests.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.parsetools.RecordParser;
 import java.io.IOException;
@@ -10,8 +11,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
+import org.cowslipdale.config.codec.Codecs;
 import org.cowslipdale.core.gateway.GatewayReply;
 import org.cowslipdale.core.gateway.GatewayRequest;
+import org.cowslipdale.core.permit.PermitDemand;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.statement.ServerFailure;
@@ -99,6 +102,21 @@
     assertThat(transfer(new PeerFrame(4, false, message)).message(), is(message));
   }
 
+  /** The fields that VMs of earlier versions know must stay in their places. */
+  @Test
+  void demandOfEarlierVersionDecodesWithoutPriority() throws IOException {
+    PermitDemand demand = new PermitDemand(7, 3, "bonds-1", 70, 0);
+    ObjectMapper codec = Codecs.compactMessagePack(PeerMessage.class);
+    byte[] earlier = codec.writeValueAsBytes(List.of(7L, 3L, "bonds-1", 70));
+    byte[] later = codec.writeValueAsBytes(List.of(7L, 3L, "bonds-1", 70, 0, "added later"));
+
+    assertThat(
+        codec.readValue(earlier, PermitDemand.class), is(new PermitDemand(7, 3, "bonds-1", 70)));
+    assertThat(codec.readValue(later, PermitDemand.class), is(demand));
+    PeerFrame received = transfer(new PeerFrame(4, false, new PeerMessage.PermitRequest(demand)));
+    assertThat(((PeerMessage.PermitRequest) received.message()).demand(), is(demand));
+  }
+
   private static PeerFrame transfer(PeerFrame frame) throws IOException {
     List<Buffer> payloads = new ArrayList<>();
     RecordParser parser = FrameCodec.parser(payloads::add, () -> {});
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/FakeServers.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/FakeServers.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.statement.ServerCommand;
+import org.cowslipdale.core.statement.ServerFailure;
 import org.cowslipdale.core.statement.ServerReply;
 import org.cowslipdale.core.statement.Statement;
 import org.cowslipdale.core.statement.TransactionState;
@@ -30,6 +31,7 @@
   private final AtomicInteger openedConnections = new AtomicInteger();
   private final AtomicInteger openConnections = new AtomicInteger();
   private final AtomicInteger rollbacks = new AtomicInteger();
+  private volatile boolean busy;
   private volatile long connectDelayMillis;
   private volatile long statementDelayMillis;
   private volatile boolean breakOnPrepare;
@@ -41,6 +43,11 @@
     return answerLatches.computeIfAbsent(id, key -> new CountDownLatch(1));
   }
 
+  /** Makes the servers reject statements as busy, or not any more. */
+  void rejectAsBusy(boolean busy) {
+    this.busy = busy;
+  }
+
   /** Delays the opening of every later connection. */
   void delayConnections(long millis) {
     connectDelayMillis = millis;
@@ -135,6 +142,10 @@
         usable = false;
         throw new BackendException(true, new IOException("the connection broke"));
       }
+      if (command instanceof ServerCommand.Run && busy) {
+        return new ServerReply(
+            List.of(), "", ServerFailure.BUSY, TransactionState.IDLE, new LogPosition(1, 7));
+      }
       if (command instanceof ServerCommand.Run run) {
         pause(statementDelayMillis);
         runs.add(server + " " + run.statement().id());
