Place reads by the measured capacity of servers

Cause: the preference of SessionRouter counts outstanding statements in steps of two. A VM with little traffic keeps to its preferred server however slow it is, and a server that fails at once attracts load.

Change: with a CapacityPlacement, SessionRouter chooses among the eligible servers the one that is expected to complete the read first. Without one the old preference runs unchanged.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
@@ -14,6 +14,7 @@
 import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.view.DatabaseState;
 import org.cowslipdale.core.view.Freshness;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Chooses the backend server for the statements of sessions.
@@ -50,6 +51,7 @@
   private final ReplicaLagTracker replicaLag;
   private final ServerBackoff backoff;
   private final WriteFencing writeFencing;
+  private final @Nullable CapacityPlacement capacity;
 
   /**
    * Creates a router.
@@ -70,6 +72,30 @@
       ReplicaLagTracker replicaLag,
       ServerBackoff backoff,
       WriteFencing writeFencing) {
+    this(vm, failureDomain, region, load, replicaLag, backoff, writeFencing, null);
+  }
+
+  /**
+   * Creates a router that may place reads by the measured capacity of servers.
+   *
+   * @param vm the name of this VM
+   * @param failureDomain the failure domain of this VM
+   * @param region the region of this VM
+   * @param load the load and health of servers as seen by this VM
+   * @param replicaLag the replicas that rejected reads because they lag
+   * @param backoff the servers that reported that they are busy
+   * @param writeFencing how writes to a replaced primary are prevented
+   * @param capacity chooses among eligible servers, or null to use the fixed preference
+   */
+  public SessionRouter(
+      String vm,
+      String failureDomain,
+      String region,
+      ServerLoad load,
+      ReplicaLagTracker replicaLag,
+      ServerBackoff backoff,
+      WriteFencing writeFencing,
+      @Nullable CapacityPlacement capacity) {
     this.vm = requireNonNull(vm, "vm");
     this.failureDomain = requireNonNull(failureDomain, "failureDomain");
     this.region = requireNonNull(region, "region");
@@ -77,6 +103,12 @@
     this.replicaLag = requireNonNull(replicaLag, "replicaLag");
     this.backoff = requireNonNull(backoff, "backoff");
     this.writeFencing = requireNonNull(writeFencing, "writeFencing");
+    this.capacity = capacity;
+  }
+
+  /** Returns the placement by measured capacity, or empty if it is not in use. */
+  public Optional<CapacityPlacement> capacity() {
+    return Optional.ofNullable(capacity);
   }
 
   /**
@@ -244,9 +276,12 @@
         candidates.add(server);
       }
     }
-    return candidates.stream()
-        .min(preference(demand.customer(), state, now))
-        .flatMap(server -> confirm(server, demand, state, lease, history, evacuations, now));
+    Optional<BackendServer> chosen =
+        capacity == null
+            ? candidates.stream().min(preference(demand.customer(), state, now))
+            : capacity.choose(candidates, demand.customer(), now);
+    return chosen.flatMap(
+        server -> confirm(server, demand, state, lease, history, evacuations, now));
   }
 
   /**
