Record answers for the capacity of servers and publish the estimates

Cause: the estimates need the response times, rejections and timeouts that SessionRunner sees, and operators need to see the estimates.

Change: SessionRunner records each answer and each statement without one, if the router places by capacity, which adaptive-capacity turns on. Gauges of limit, response time and success rate per server; the name of the server is the only label, and servers that are gone are removed.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
@@ -11,12 +11,15 @@
 import java.util.Random;
 import java.util.Set;
 import org.cowslipdale.config.settings.DaemonSettings;
+import org.cowslipdale.config.settings.Feature;
 import org.cowslipdale.core.backend.BackendRegistry;
 import org.cowslipdale.core.backend.ServerBackoff;
+import org.cowslipdale.core.backend.ServerCapacity;
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.failover.PrimaryTrafficMonitor;
 import org.cowslipdale.core.result.CowslipException;
 import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.routing.CapacityPlacement;
 import org.cowslipdale.core.routing.ReplicaLagTracker;
 import org.cowslipdale.core.routing.SessionRouter;
 import org.cowslipdale.daemon.adapter.Adapter;
@@ -51,6 +54,8 @@
   private final VmClock clock;
   private final ServerHealth health = new ServerHealth();
   private final PrimaryTrafficMonitor trafficMonitor = new PrimaryTrafficMonitor();
+  private final ServerCapacity capacity = new ServerCapacity();
+  private final ServerCapacityMetrics capacityMetrics;
   private final SessionConnector connector;
   private @Nullable SessionPools pools;
   private @Nullable SessionServer sessionServer;
@@ -74,6 +79,7 @@
     this.meters = requireNonNull(meters, "meters");
     this.readiness = requireNonNull(readiness, "readiness");
     this.clock = requireNonNull(clock, "clock");
+    this.capacityMetrics = new ServerCapacityMetrics(capacity, meters);
     this.connector = adapter.sessionConnector(vertx, settings);
   }
 
@@ -97,6 +103,17 @@
     pools = sessionPools;
     ReplicaLagTracker lagTracker = new ReplicaLagTracker();
     ServerBackoff backoff = new ServerBackoff(new Random());
+    Set<Feature> features = adapter.features(settings);
+    CapacityPlacement placement =
+        features.contains(Feature.ADAPTIVE_CAPACITY)
+            ? new CapacityPlacement(
+                settings.vm().name(),
+                settings.vm().failureDomain(),
+                settings.vm().region(),
+                sessionPools,
+                backoff,
+                capacity)
+            : null;
     SessionContext context =
         new SessionContext(
             views,
@@ -109,7 +126,8 @@
                 sessionPools,
                 lagTracker,
                 backoff,
-                settings.writeFencing()),
+                settings.writeFencing(),
+                placement),
             sessionPools,
             lagTracker,
             control.positions(),
@@ -117,7 +135,7 @@
             trafficMonitor,
             control.rateLimiter(),
             clock,
-            adapter.features(settings));
+            features);
     PrimaryChecker checker =
         new PrimaryChecker(views, registry, connector, trafficMonitor, clock, control::renewLease);
     SessionServer server = new SessionServer(context, checker);
@@ -158,6 +176,8 @@
           .forEach(
               database -> registeredServers.addAll(registry.group(database).servers().keySet()));
       pools().retain(registeredServers);
+      capacity.retain(registeredServers);
+      capacityMetrics.update();
     }
   }
 
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -114,6 +114,19 @@
       return !(statement instanceof Statement.Commit) && isWrite();
     }
 
+    /** Returns the class of statements that take a similar time on equal servers. */
+    String statementClass() {
+      String kind =
+          switch (statement) {
+            case Statement.Access access -> isWrite() ? "write" : "read";
+            case Statement.Execute execute -> isWrite() ? "write" : "read";
+            case Statement.Begin begin -> "begin";
+            case Statement.Commit commit -> "commit";
+            default -> "other";
+          };
+      return operation.route().name() + ' ' + kind;
+    }
+
     boolean isWrite() {
       return switch (statement) {
         case Statement.Access access -> access.write();
@@ -423,6 +436,7 @@
           .write();
       boolean timedOut = context.clock().millis() >= request.deadlineMillis();
       if (!timedOut || awaitedMillis >= MIN_UNANSWERED_MILLIS) {
+        recordUnanswered(target, awaitedMillis);
         context.health().failed(server, context.clock().millis());
         context.pools().closeIdle(server);
         if (target.asPrimary()) {
@@ -588,6 +602,7 @@
       StatementRequest request, RunOn target, ServerReply reply, long sentMillis) {
     String database = request.operation().route().database();
     context.health().succeeded(target.server().name());
+    recordCapacity(request, target, reply, sentMillis);
     if (reply.failure() == ServerFailure.BUSY) {
       context.backoff().rejected(target.server().name(), context.clock().millis());
     } else if (reply.failure() == null) {
@@ -616,6 +631,30 @@
     }
   }
 
+  private void recordCapacity(
+      StatementRequest request, RunOn target, ServerReply reply, long sentMillis) {
+    long now = context.clock().millis();
+    context
+        .router()
+        .capacity()
+        .ifPresent(
+            capacity ->
+                capacity.recordAnswer(
+                    target.server(),
+                    request.statementClass(),
+                    reply.failure(),
+                    now - sentMillis,
+                    now));
+  }
+
+  private void recordUnanswered(RunOn target, long awaitedMillis) {
+    long now = context.clock().millis();
+    context
+        .router()
+        .capacity()
+        .ifPresent(capacity -> capacity.recordUnanswered(target.server(), awaitedMillis, now));
+  }
+
   private DecisionLog.Line logLine(LogEvent event, StatementRequest request, RunOn target) {
     return DecisionLog.line(event)
         .with("request", request.statement().id())
