--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/backend/ServerCapacity.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/backend/ServerCapacity.java
@@ -29,8 +29,11 @@
   /** How long unused entries are kept if others need their place. */
   private static final long MAX_IDLE_MILLIS = 10_000;
 
-  /** Short compared with the 2 s within which the recovery of a server must be noticed. */
-  private static final double SMOOTHING_MILLIS = 500;
+  /**
+   * Two probes must replace the estimate within the 2 s in which a recovery must be noticed. With
+   * 500 ms and a probe interval of 750 ms three were needed, and some VMs took longer.
+   */
+  private static final double SMOOTHING_MILLIS = 250;
 
   /** Keeps the effect of one response time small while there are many. */
   private static final double MIN_WEIGHT = 0.05;
@@ -64,7 +67,7 @@
    * How long a server that is not preferred stays without a statement, at least, before it gets one
    * to update its estimate.
    */
-  private static final long PROBE_INTERVAL_MILLIS = 750;
+  private static final long PROBE_INTERVAL_MILLIS = 500;
 
   /** At most one in this number of statements is sent only to update an estimate. */
   private static final int STATEMENTS_PER_PROBE = 8;
@@ -341,6 +344,10 @@
     double limit = state.estimate().limit();
     double weight = state.weight(now, MIN_WEIGHT, MAX_WEIGHT);
     if (slowness > SHRINK_TOLERANCE * best) {
+      if (outstanding <= 1) {
+        // The load of this VM is not the cause, so a smaller limit would not help.
+        return changed.withBestSlowness(best);
+      }
       double gradient = Math.max(MIN_GRADIENT, SHRINK_TOLERANCE * best / slowness);
       limit *= 1 - weight * (1 - gradient);
     } else if (slowness <= GROWTH_TOLERANCE * best) {
