--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
@@ -18,11 +18,13 @@
 import org.cowslipdale.core.backend.BackoffPolicy;
 import org.cowslipdale.core.backend.PriorityBackoff;
 import org.cowslipdale.core.backend.ServerBackoff;
+import org.cowslipdale.core.backend.ServerCapacity;
 import org.cowslipdale.core.backend.ServerHealth;
 import org.cowslipdale.core.failover.PrimaryTrafficMonitor;
 import org.cowslipdale.core.placement.ColdStartLimit;
 import org.cowslipdale.core.result.CowslipException;
 import org.cowslipdale.core.result.ResultCode;
+import org.cowslipdale.core.routing.CapacityPlacement;
 import org.cowslipdale.core.routing.ReplicaLagTracker;
 import org.cowslipdale.core.routing.SessionRouter;
 import org.cowslipdale.daemon.adapter.Adapter;
@@ -63,6 +65,8 @@
   private final ServerHealth health = new ServerHealth();
   private final PrimaryTrafficMonitor trafficMonitor = new PrimaryTrafficMonitor();
   private final ClientGuard guard;
+  private final ServerCapacity capacity = new ServerCapacity();
+  private final ServerCapacityMetrics capacityMetrics;
   private final SessionConnector connector;
   private final ColdStartLimit coldStartLimit;
   private @Nullable SessionPools pools;
@@ -90,6 +94,7 @@
     this.readiness = requireNonNull(readiness, "readiness");
     this.clock = requireNonNull(clock, "clock");
     this.coldStartLimit = new ColdStartLimit(settings.vm().name());
+    this.capacityMetrics = new ServerCapacityMetrics(capacity, meters);
     this.guard = requireNonNull(guard, "guard");
     this.connector = adapter.sessionConnector(vertx, settings, guard);
   }
@@ -128,6 +133,16 @@
         features.contains(Feature.PRIORITY_ADMISSION)
             ? new PriorityBackoff(new Random())
             : new ServerBackoff(new Random());
+    CapacityPlacement placement =
+        features.contains(Feature.ADAPTIVE_CAPACITY)
+            ? new CapacityPlacement(
+                settings.vm().name(),
+                settings.vm().failureDomain(),
+                settings.vm().region(),
+                connections,
+                backoff,
+                capacity)
+            : null;
     SessionContext context =
         new SessionContext(
             views,
@@ -140,7 +155,8 @@
                 connections,
                 lagTracker,
                 backoff,
-                settings.writeFencing()),
+                settings.writeFencing(),
+                placement),
             connections,
             lagTracker,
             control.positions(),
@@ -217,6 +233,8 @@
               database -> registeredServers.addAll(registry.group(database).servers().keySet()));
       pools().retain(registeredServers);
       coldStartLimit.retain(registeredServers);
+      capacity.retain(registeredServers);
+      capacityMetrics.update();
     }
   }
 
