Probe slow servers also while the best one beats the best response time

Cause: in a trial with seeds 24 to 63, slowServerIsNotStarved failed for seed 30 (no statement for 2,006 ms, bound 2,000). The slowness of the best server may fall just below 1, and then no probe statement was due elsewhere.

Change: the comparison has the tolerance that ties have; seed 30 is added.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/CapacityPlacement.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/CapacityPlacement.java
@@ -84,7 +84,7 @@
     double best = candidates.stream().mapToDouble(Candidate::expectedMillis).min().orElseThrow();
     BackendServer chosen =
         candidates.stream()
-            .filter(candidate -> candidate.optimisticMillis() <= best)
+            .filter(candidate -> candidate.optimisticMillis() <= TIE_FACTOR * best)
             .filter(candidate -> candidate.expectedMillis() > TIE_FACTOR * best)
             .map(Candidate::server)
             .filter(server -> capacity.isProbeDue(server.name(), now))
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/CapacityPlacementTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/CapacityPlacementTests.java
@@ -183,7 +183,7 @@
 
   /** With a fixed limit, a server that is twice as slow gets a share as if it were not. */
   @ParameterizedTest
-  @ValueSource(longs = {1, 2, 3, 6, 15, 19, 21, 23})
+  @ValueSource(longs = {1, 2, 3, 6, 15, 19, 21, 23, 30})
   void avoidsServerTwiceAsSlow(long seed) {
     assertThat(shareOfSlowServer(seed, true), is(lessThan(0.15)));
     assertThat(shareOfSlowServer(seed, false), is(greaterThan(0.2)));
@@ -199,7 +199,7 @@
 
   /** A server that slows down beyond half of its slots must not be filled up to its slots. */
   @ParameterizedTest
-  @ValueSource(longs = {1, 2, 3, 6, 15, 19, 21, 23})
+  @ValueSource(longs = {1, 2, 3, 6, 15, 19, 21, 23, 30})
   void keepsServerBelowLoadAtWhichItSlowsDown(long seed) {
     Fleet adaptive = new Fleet(seed, true, 1, CapacityPlacementTests::slowBeyondHalf);
     Fleet fixed = new Fleet(seed, false, 1, CapacityPlacementTests::slowBeyondHalf);
@@ -215,7 +215,7 @@
 
   /** After a server got faster, a VM with little traffic must use it again within 2 s. */
   @ParameterizedTest
-  @ValueSource(longs = {1, 2, 3, 6, 15, 19, 21, 23})
+  @ValueSource(longs = {1, 2, 3, 6, 15, 19, 21, 23, 30})
   void followsChangingSpeed(long seed) {
     long recoveryMillis = 11_000;
     Behaviour recovering =
@@ -237,7 +237,7 @@
 
   /** A limit that swings under constant load would move load to and fro. */
   @ParameterizedTest
-  @ValueSource(longs = {1, 2, 3, 6, 15, 19, 21, 23})
+  @ValueSource(longs = {1, 2, 3, 6, 15, 19, 21, 23, 30})
   void limitVariesLittleUnderConstantLoad(long seed) {
     Fleet fleet = new Fleet(seed, true, 1, CapacityPlacementTests::slowBeyondHalf);
     fleet.run(5_000, 900);
@@ -254,7 +254,7 @@
 
   /** VMs that do not know of each other share what a server handles well. */
   @ParameterizedTest
-  @ValueSource(longs = {1, 2, 3, 6, 15, 19, 21, 23})
+  @ValueSource(longs = {1, 2, 3, 6, 15, 19, 21, 23, 30})
   void twoVmsShareServer(long seed) {
     Fleet adaptive = new Fleet(seed, true, 2, CapacityPlacementTests::slowBeyondHalf);
     Fleet fixed = new Fleet(seed, false, 2, CapacityPlacementTests::slowBeyondHalf);
@@ -273,7 +273,7 @@
 
   /** Without statements now and then, a server that was slow once would never be used again. */
   @ParameterizedTest
-  @ValueSource(longs = {1, 2, 3, 6, 15, 19, 21, 23})
+  @ValueSource(longs = {1, 2, 3, 6, 15, 19, 21, 23, 30})
   void slowServerIsNotStarved(long seed) {
     Behaviour slow = (server, atServer, now, random) -> slowIf(server, true, 20);
     Fleet adaptive = new Fleet(seed, true, 1, slow);
@@ -291,7 +291,7 @@
 
   /** A server that fails at once has few outstanding statements and would attract all load. */
   @ParameterizedTest
-  @ValueSource(longs = {1, 2, 3, 6, 15, 19, 21, 23})
+  @ValueSource(longs = {1, 2, 3, 6, 15, 19, 21, 23, 30})
   void avoidsServerThatFailsFast(long seed) {
     Behaviour grey =
         (server, atServer, now, random) ->
