--- a/review/support/LargeResult.java
+++ b/review/support/LargeResult.java
@@ -2,19 +2,24 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A clerk reads a statement of account with many rows, and repeats the read at other machines when
- * the connection breaks, as clients do.
+ * Clerks read statements of account with many rows, and repeat a read at other machines when the
+ * connection breaks, as clients do.
  */
 final class LargeResult {
 
-  /** Rows of 2,000 bytes, 80 MB in all; a message may have 1 MiB. */
-  private static final int ROWS = 40_000;
+  /** Rows of 2,000 bytes, 20 MB in all; a message may have 1 MiB. */
+  private static final int ROWS = 10_000;
 
   private static final int ROW_BYTES = 2_000;
+  private static final int CLIENTS = 9;
   private static final int RETRIES = 2;
-  private static final long PLAY_MILLIS = 70_000;
+  private static final long PAUSE_MILLIS = 1_000;
+  private static final long PLAY_MILLIS = 60_000;
 
   /** By the rule: three ends in the day, on two machines at least. */
   private static final int ENDS = 3;
@@ -56,29 +61,49 @@
       throw new IOException("the fleet does not serve reads");
     }
     long end = record.millis() + PLAY_MILLIS;
-    int served = 0;
-    int operations = 0;
-    for (int turn = 0; record.millis() < end; turn++) {
-      operations++;
-      boolean done = false;
-      for (int attempt = 0; attempt <= RETRIES && !done; attempt++) {
-        String front = fleet.fronts().get((turn + attempt) % fleet.fronts().size());
-        done = readOnce(record, fleet, front, "statement");
+    AtomicInteger operations = new AtomicInteger();
+    AtomicInteger served = new AtomicInteger();
+    List<Thread> clients = new ArrayList<>();
+    for (int i = 0; i < CLIENTS; i++) {
+      int number = i;
+      clients.add(
+          Thread.ofPlatform()
+              .start(
+                  () -> {
+                    while (record.millis() < end) {
+                      operations.incrementAndGet();
+                      served.addAndGet(readWithRetries(record, fleet, number) ? 1 : 0);
+                      Operator.pause(PAUSE_MILLIS);
+                    }
+                  }));
+    }
+    for (Thread client : clients) {
+      try {
+        client.join();
+      } catch (InterruptedException e) {
+        throw new IOException(e);
       }
-      served += done ? 1 : 0;
-      Operator.pause(2_000);
     }
     int machines = 0;
     for (String front : fleet.fronts()) {
       record.result("processes of %s ended by themselves %d times", front, fleet.ownEnds(front));
       machines += fleet.ownEnds(front) >= ENDS ? 1 : 0;
     }
-    record.result("%d of %d reads were served", served, operations);
+    record.result("%d of %d reads were served", served.get(), operations.get());
     boolean broken = machines >= MACHINES;
     record.result(broken ? "Fault: on %d machines" : "no fault", machines);
     return broken ? 1 : 0;
   }
 
+  private static boolean readWithRetries(Record record, Fleet fleet, int client) {
+    boolean done = false;
+    for (int attempt = 0; attempt <= RETRIES && !done; attempt++) {
+      String front = fleet.fronts().get((client + attempt) % fleet.fronts().size());
+      done = readOnce(record, fleet, front, "statement");
+    }
+    return done;
+  }
+
   /** Reads an item in a new session; returns whether it was answered with success. */
   private static boolean readOnce(Record record, Fleet fleet, String front, String item) {
     String id = LineClient.newId();
