--- a/review/support/DistinctShapes.java
+++ b/review/support/DistinctShapes.java
@@ -7,13 +7,13 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Sessions prepare a statement, execute it once and deallocate it, each time with another shape of 20
+ * Sessions prepare a statement, execute it once and deallocate it, each time with another shape of 60
  * KB. No session ever has more than one prepared statement.
  */
 final class DistinctShapes {
 
   private static final int SESSIONS = 9;
-  private static final int SHAPE_BYTES = 20_000;
+  private static final int SHAPE_BYTES = 60_000;
   private static final long PLAY_MILLIS = 75_000;
 
   /** By the rule: three ends in the day, on two machines at least. */
