--- a/review/support/DatabaseGroup.java
+++ b/review/support/DatabaseGroup.java
@@ -12,7 +12,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -44,9 +43,6 @@
   /** The term in which the commit of each statement was made. */
   private final Map<String, Long> termsByStatement = new HashMap<>();
 
-  /** The tenant for which each write ran, as the system named it when it connected. */
-  private final Map<String, String> tenantsByStatement = new ConcurrentHashMap<>();
-
   private volatile boolean closed;
 
   /**
@@ -118,15 +114,6 @@
     return termsByStatement.getOrDefault(statement, 0L);
   }
 
-  void recordTenant(String statement, String tenant) {
-    tenantsByStatement.put(statement, tenant);
-  }
-
-  /** Returns the tenant for which a write ran, with a character for each byte. */
-  String tenantOf(String statement) {
-    return tenantsByStatement.getOrDefault(statement, "");
-  }
-
   synchronized List<Promotion> promotions() {
     return List.copyOf(promotions);
   }
--- a/review/support/DatabaseServer.java
+++ b/review/support/DatabaseServer.java
@@ -364,7 +364,6 @@
         throw new Refused("READONLY");
       }
       group.record().line("%s runs write %s for %s", id, statement, tenant);
-      group.recordTenant(statement, tenant);
       if (transaction != null) {
         transaction.add(statement);
       } else if (!group.commit(DatabaseServer.this, List.of(statement))) {
--- a/review/support/Fleet.java
+++ b/review/support/Fleet.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -119,11 +120,6 @@
     return ownEnds.getOrDefault(machine, 0);
   }
 
-  synchronized boolean isRunning(String machine) {
-    Process process = processes.get(machine);
-    return process != null && process.isAlive();
-  }
-
   private static int number(String machine) {
     return Integer.parseInt(machine.substring(machine.indexOf('-') + 1));
   }
@@ -226,14 +222,6 @@
     throw new IOException("no free ports found");
   }
 
-  /** Prints the last lines that a machine logged, for the record of a case that could not run. */
-  void recordLog(String machine, int lines) throws IOException {
-    List<String> all = Files.readAllLines(folder.resolve(machine + ".log"));
-    for (String line : all.subList(Math.max(0, all.size() - lines), all.size())) {
-      record.line("log of %s: %s", machine, line);
-    }
-  }
-
   /** Ends all processes and removes their files. */
   @Override
   public void close() throws IOException {
@@ -251,7 +239,7 @@
       }
     }
     try (var files = Files.walk(folder)) {
-      for (Path file : files.sorted(java.util.Comparator.reverseOrder()).toList()) {
+      for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
         Files.delete(file);
       }
     }
--- a/review/support/Operator.java
+++ b/review/support/Operator.java
@@ -9,7 +9,6 @@
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 
 /** Sends orders and heartbeats to the machines that serve control, in turn until one answers. */
@@ -97,24 +96,6 @@
    * @param tenant the name of the tenant, which has the key "key-" and this name
    */
   static byte[] document(long version, int syncReplicas, String tenant) {
-    return documentWith(version, syncReplicas, tenantEntry(tenant, "key-" + tenant));
-  }
-
-  /** Returns a document with several tenants; the keys are "key-" and their index. */
-  static byte[] document(long version, List<String> tenants) {
-    List<String> entries = new ArrayList<>();
-    for (int i = 0; i < tenants.size(); i++) {
-      entries.add(tenantEntry(tenants.get(i), "key-" + i));
-    }
-    return documentWith(version, 0, String.join(",", entries));
-  }
-
-  private static String tenantEntry(String name, String key) {
-    return "{\"name\":\"%s\",\"apiKeys\":[\"%s\"],\"priority\":1,\"ratePerS\":1000,\"burst\":1000}"
-        .formatted(name, key);
-  }
-
-  private static byte[] documentWith(long version, int syncReplicas, String tenants) {
     return """
     {"version":%d,"routes":[\
     {"name":"r-1","database":"subscribe","pathPrefix":"/","routeType":"primary",\
@@ -127,9 +108,9 @@
     "protocol":"h1","tls":false,"syncReplicas":%d}],\
     "limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,\
     "idleTimeoutMs":15000,"txIdleMs":3000},\
-    "tenants":[%s]}\
+    "tenants":[{"name":"%s","apiKeys":["key-%s"],"priority":1,"ratePerS":1000,"burst":1000}]}\
     """
-        .formatted(version, syncReplicas, tenants)
+        .formatted(version, syncReplicas, tenant, tenant)
         .getBytes(UTF_8);
   }
 
