Log the positions by which a server is promoted

The decision log named the promoted server, but not what the leader knew of the others. The line "service-asked" now has the positions of the choice.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/FailoverAction.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/FailoverAction.java
@@ -1,5 +1,7 @@
 package org.cowslipdale.core.failover;
 
+import java.util.Map;
+import org.cowslipdale.core.session.LogPosition;
 import org.cowslipdale.core.view.ViewCommand;
 import org.jspecify.annotations.Nullable;
 
@@ -38,9 +40,18 @@
    * @param term the term that the server is to lead
    * @param server the name of the server
    * @param fence the fencing token of the attempt
+   * @param positions the log positions by which the server was chosen, by server; empty if it is
+   *     the existing primary of the group
    */
-  record RequestPromotion(String database, long term, String server, long fence)
-      implements FailoverAction {}
+  record RequestPromotion(
+      String database, long term, String server, long fence, Map<String, LogPosition> positions)
+      implements FailoverAction {
+
+    /** Copies the map. */
+    public RequestPromotion {
+      positions = Map.copyOf(positions);
+    }
+  }
 
   /**
    * Assigns a role in a term to a server.
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
@@ -460,7 +460,8 @@
             database,
             begunTerm,
             requireNonNull(promotionTarget, "promotionTarget"),
-            situation.state().fence()));
+            situation.state().fence(),
+            positions));
   }
 
   private List<FailoverAction> queryPreferredServers(Situation situation, LogPosition highest) {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FailoverExecutor.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FailoverExecutor.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.cowslipdale.config.protocol.PromotionCall;
@@ -119,7 +120,9 @@
     if (!(access instanceof BackendAccess.External external)) {
       throw new IllegalStateException("No external promotion service is in use");
     }
-    phaseLine("service-asked", promotion).write();
+    phaseLine("service-asked", promotion)
+        .with("positions", new TreeMap<>(promotion.positions()))
+        .write();
     external
         .promotionService()
         .promote(
