Promote only servers that hold every acknowledged commit

Cause: the leader read enough positions to know the highest acknowledged one, but chose the most advanced of the servers that stay, and another one only if there was none.

CommitQuorum decides which servers hold every acknowledged commit: n minus syncReplicas known positions must not exceed that of the server, where n is the declared size, or more if more servers were announced lately. Each commit is on the primary and on syncReplicas replicas, so one that such a server lacked would be on too few servers to have been acknowledged. Only such servers are promoted, leaving ones and the previous primary included.

Without synchronous replicas a change still waits for nobody.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/FailoverAction.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/FailoverAction.java
@@ -42,9 +42,15 @@
    * @param fence the fencing token of the attempt
    * @param positions the log positions by which the server was chosen, by server; empty if it is
    *     the existing primary of the group
+   * @param mayLackCommits whether the server may lack commits that synchronous replicas stored
    */
   record RequestPromotion(
-      String database, long term, String server, long fence, Map<String, LogPosition> positions)
+      String database,
+      long term,
+      String server,
+      long fence,
+      Map<String, LogPosition> positions,
+      boolean mayLackCommits)
       implements FailoverAction {
 
     /** Copies the map. */
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.cowslipdale.core.backend.BackendGroup;
 import org.cowslipdale.core.backend.BackendServer;
@@ -35,9 +36,11 @@
  * </ol>
  *
  * <p>A write that a majority stored before it was acknowledged is therefore never lost. If an
- * external service promotes the servers, the number of positions follows from the number of
- * synchronous replicas instead. A leader continues only terms that it began itself, so that no term
- * has two primaries.
+ * external service promotes the servers, a {@link CommitQuorum} of the synchronous replicas decides
+ * instead which servers hold every acknowledged commit. Only such a server is promoted, be it
+ * leaving or the previous primary, unless none appears for a long time.
+ *
+ * <p>A leader continues only terms that it began itself, so that no term has two primaries.
  *
  * <p>This class is confined to one thread.
  */
@@ -70,11 +73,31 @@
   private static final long SERVICE_TIMEOUT_MILLIS = 6_000;
 
   /**
-   * How long a server that the external service has rejected is left out. The service rejects a
-   * server that is down, and the server may be running again by then.
+   * How long a server that the external service has rejected is left out, after the first rejection
+   * of a change. The service rejects a server that is down, and the server may be running again by
+   * then. The time doubles with each further rejection, so that other servers are tried too.
    */
   private static final long REJECTION_MILLIS = 2_000;
 
+  private static final int MAX_REJECTION_DOUBLINGS = 2;
+
+  /**
+   * How long a group with synchronous replicas remains without a primary while no known server is
+   * certain to hold every acknowledged commit. A server that crashed returns with its log within
+   * this time, as does the successor of one that was shut down. Afterwards the most advanced server
+   * is promoted.
+   */
+  private static final long COMMIT_WAIT_LIMIT_MILLIS = 30_000;
+
+  /**
+   * How long a silent server counts as one that may hold commits. Longer than a change may wait, so
+   * that a server that fell silent before the change counts to its end.
+   */
+  private static final long SILENT_SERVER_RETENTION_MILLIS = 2 * COMMIT_WAIT_LIMIT_MILLIS;
+
+  /** How long a new primary must remain reachable until the next failure is another change. */
+  private static final long CHANGE_SETTLE_MILLIS = 5_000;
+
   /**
    * How long a new leader waits for an announcement of the primary before it considers the primary
    * failed: long enough for two announcements and a repeated one.
@@ -82,10 +105,10 @@
   private static final long ANNOUNCEMENT_WAIT_MILLIS = 3_500;
 
   /**
-   * How long a primary in an evacuated failure domain that was promoted for want of another server
+   * How long a primary that is leaving or evacuated and was promoted for want of another server
    * remains primary before the next attempt to replace it. Each attempt interrupts writes.
    */
-  private static final long EVACUATION_RETRY_MILLIS = 2_000;
+  private static final long REPLACEMENT_RETRY_MILLIS = 2_000;
 
   private final String database;
   private final PromotionMode promotionMode;
@@ -97,15 +120,30 @@
   private long begunTerm;
   private @Nullable String previousPrimary;
   private @Nullable String previousRegion;
-  private long evacuationRetryMillis = Long.MIN_VALUE;
-  private boolean previousPrimaryReachable;
+  private long replacementRetryMillis = Long.MIN_VALUE;
+
+  /** Whether the previous primary is suspected and therefore not asked for its position. */
+  private boolean previousPrimaryLeftOut;
+
+  /** Since when the database has needed another primary. */
+  private OptionalLong changeSinceMillis = OptionalLong.empty();
+
   private @Nullable String promotionTarget;
+  private boolean promotionMayLackCommits;
   private boolean promotionAccepted;
   private long lastServiceRequestMillis;
-  private final Map<String, Long> rejectionMillis = new HashMap<>();
+  private final Map<String, Rejections> rejections = new HashMap<>();
+  private final RecentServers recentServers = new RecentServers(SILENT_SERVER_RETENTION_MILLIS);
   private long lastCompletionMillis = Long.MIN_VALUE / 2;
   private long lastCompletedTerm;
 
+  private record Rejections(int count, long lastMillis) {
+
+    long pauseMillis() {
+      return REJECTION_MILLIS << Math.min(count - 1, MAX_REJECTION_DOUBLINGS);
+    }
+  }
+
   private enum Step {
     IDLE,
     BEGINNING_TERM,
@@ -147,6 +185,7 @@
   /** Advances the change of primary and returns the actions to carry out. */
   List<FailoverAction> tick(Situation situation) {
     firstTickMillis = Math.min(firstTickMillis, situation.now());
+    recentServers.update(situation.group().servers().values(), situation.now());
     List<FailoverAction> actions = new ArrayList<>();
     switch (step) {
       case IDLE -> tickIdle(situation, actions);
@@ -187,7 +226,10 @@
     if (accepted) {
       promotionAccepted = true;
     } else {
-      rejectionMillis.put(request.server(), now);
+      rejections.merge(
+          request.server(),
+          new Rejections(1, now),
+          (before, latest) -> new Rejections(before.count() + 1, now));
       restartInNewTerm(now);
     }
   }
@@ -199,18 +241,29 @@
       lastCompletionMillis = situation.now();
     }
     if (needsPrimaryChange(situation)) {
+      boolean planned = state.primary() != null && isPrimaryReachable(situation);
+      if (planned || changeSinceMillis.isEmpty()) {
+        changeSinceMillis = OptionalLong.of(situation.now());
+      }
       previousPrimary = state.primary();
       previousRegion =
           primaryServer(situation).map(server -> server.announcement().region()).orElse(null);
-      previousPrimaryReachable = !situation.suspect();
+      previousPrimaryLeftOut = situation.suspect();
       begunTerm = state.term() + 1;
       enterStep(Step.BEGINNING_TERM, situation.now());
       actions.add(new FailoverAction.Propose(new ViewCommand.BeginTerm(database, begunTerm)));
       return;
     }
+    if (state.primary() != null && situation.now() - lastCompletionMillis >= CHANGE_SETTLE_MILLIS) {
+      changeSinceMillis = OptionalLong.empty();
+    }
     assignFollowers(situation, actions);
   }
 
+  private static boolean isPrimaryReachable(Situation situation) {
+    return !situation.suspect() && primaryServer(situation).isPresent();
+  }
+
   private boolean needsPrimaryChange(Situation situation) {
     DatabaseState state = situation.state();
     if (!hasEnoughServers(situation)) {
@@ -224,11 +277,10 @@
     Optional<BackendServer> server = situation.group().server(primary);
     boolean demoted =
         settled && server.isPresent() && server.get().announcement().role() != ServerRole.PRIMARY;
-    boolean leaving = server.isPresent() && server.get().announcement().leaving();
-    boolean evacuated =
+    boolean toBeReplaced =
         server.isPresent()
-            && preference(situation).isEvacuated(server.get())
-            && situation.now() >= evacuationRetryMillis;
+            && isToBeReplaced(server.get(), situation)
+            && situation.now() >= replacementRetryMillis;
     boolean missing =
         promotionMode instanceof PromotionMode.ByService
             && server.isEmpty()
@@ -236,7 +288,11 @@
     return situation.suspect()
         || demoted
         || missing
-        || ((leaving || evacuated) && hasSuccessor(situation, primary));
+        || (toBeReplaced && hasSuccessor(situation, primary));
+  }
+
+  private boolean isToBeReplaced(BackendServer primary, Situation situation) {
+    return primary.announcement().leaving() || preference(situation).isEvacuated(primary);
   }
 
   /**
@@ -317,7 +373,7 @@
    */
   private void adoptPrimary(String primary, Situation situation, List<FailoverAction> actions) {
     if (begunTerm > FIRST_TERM) {
-      startPromotion(primary, situation, actions);
+      startPromotion(primary, false, situation, actions);
       return;
     }
     actions.add(completeTerm(primary, 0, situation.now()));
@@ -342,11 +398,11 @@
 
   /**
    * Returns whether a server is queried for its position. With the external service, a suspected
-   * previous primary is left out, since waiting for its reply would only delay the change.
+   * previous primary is left out at first, since waiting for its reply would only delay the change.
    */
   private boolean isQueriedForPosition(BackendServer server) {
     return promotionMode instanceof PromotionMode.ByServer
-        || previousPrimaryReachable
+        || !previousPrimaryLeftOut
         || !server.name().equals(previousPrimary);
   }
 
@@ -359,35 +415,52 @@
             .filter(this::isQueriedForPosition)
             .allMatch(server -> positions.containsKey(server.name()));
     boolean enoughPositions = positions.size() >= requiredPositions(situation);
+    boolean overdue = isStepOverdue(situation.now());
     long waited = situation.now() - stepStartMillis;
     if (enoughPositions && (allKnown || waited >= PrimaryProbeMonitor.TIMEOUT_MILLIS / 2)) {
       enterStep(Step.CATCHING_UP, situation.now());
       tickCatchingUp(situation, actions);
-    } else if (isStepOverdue(situation.now())) {
-      enterStep(Step.FENCING, situation.now());
+    } else if (overdue && !positions.isEmpty() && mayGiveUpCommits(situation)) {
+      enterStep(Step.CATCHING_UP, situation.now());
+    } else if (overdue) {
+      readPositionsAgain(situation);
     }
   }
 
-  /**
-   * Returns how many positions must be known before a server is chosen.
-   *
-   * <p>With the external service, a commit is stored by the primary and by the configured number of
-   * synchronous replicas before it is acknowledged. The number is such that at least one of the
-   * known positions includes it. Without synchronous replicas one position is enough.
-   */
+  /** Returns how many positions must be known before a server is chosen. */
   private int requiredPositions(Situation situation) {
     return switch (promotionMode) {
       case PromotionMode.ByServer byServer -> situation.declared().majority();
-      case PromotionMode.ByService byService ->
-          situation.declared().synchronousReplicas() == 0
-              ? 1
-              : situation.declared().servers() - situation.declared().synchronousReplicas();
+      case PromotionMode.ByService byService -> quorum(situation).requiredPositions();
     };
   }
 
+  private CommitQuorum quorum(Situation situation) {
+    Database declared = situation.declared();
+    return new CommitQuorum(
+        Math.max(declared.servers(), recentServers.count()), declared.synchronousReplicas());
+  }
+
+  /**
+   * Returns whether the database has been without a primary for so long that a server is promoted
+   * that may lack acknowledged commits.
+   */
+  private boolean mayGiveUpCommits(Situation situation) {
+    return promotionMode instanceof PromotionMode.ByService
+        && changeSinceMillis.isPresent()
+        && situation.now() - changeSinceMillis.getAsLong() >= COMMIT_WAIT_LIMIT_MILLIS;
+  }
+
+  /** Queries all servers again, the previous primary included: it may have returned. */
+  private void readPositionsAgain(Situation situation) {
+    previousPrimaryLeftOut = false;
+    enterStep(Step.FENCING, situation.now());
+  }
+
   /**
    * Chooses a preferred server at the highest known position. If there is none, waits up to {@link
-   * #CATCH_UP_LIMIT_MILLIS} for one to catch up, and then chooses the most advanced candidate.
+   * #CATCH_UP_LIMIT_MILLIS} for one to catch up, and then chooses the most advanced candidate. If
+   * there is no candidate either, the positions are read again.
    */
   private void tickCatchingUp(Situation situation, List<FailoverAction> actions) {
     if (abandonIfTermSuperseded(situation)) {
@@ -398,6 +471,7 @@
         candidates(situation).stream()
             .filter(server -> isPreferred(server, situation))
             .filter(server -> highest.equals(positions.get(server.name())))
+            .filter(server -> includesEveryCommit(server, situation))
             .findFirst();
     boolean waitElapsed = situation.now() - stepStartMillis >= CATCH_UP_LIMIT_MILLIS;
     if (best.isEmpty() && !waitElapsed) {
@@ -406,7 +480,7 @@
     }
     Optional<BackendServer> server = best.or(() -> mostAdvancedCandidate(situation));
     if (server.isEmpty()) {
-      enterStep(Step.FENCING, situation.now());
+      readPositionsAgain(situation);
       return;
     }
     switch (promotionMode) {
@@ -416,22 +490,29 @@
         actions.add(assignRole(server.get(), begunTerm, null));
       }
       case PromotionMode.ByService byService ->
-          startPromotion(server.get().name(), situation, actions);
+          startPromotion(
+              server.get().name(),
+              !includesEveryCommit(server.get(), situation),
+              situation,
+              actions);
     }
   }
 
-  private void startPromotion(String server, Situation situation, List<FailoverAction> actions) {
+  private void startPromotion(
+      String server, boolean mayLackCommits, Situation situation, List<FailoverAction> actions) {
     promotionTarget = server;
+    promotionMayLackCommits = mayLackCommits;
     promotionAccepted = false;
     enterStep(Step.PROMOTING, situation.now());
     requestPromotion(situation, actions);
   }
 
   /**
-   * Returns the candidate with the highest position. With the external service, a server that is
-   * not preferred is returned only if there is no other, and one of an evacuated failure domain
-   * last. Otherwise a server of an evacuated failure domain is left out unless the others may lack
-   * an acknowledged write.
+   * Returns the candidate with the highest position. With the external service, only a server that
+   * holds every acknowledged commit is returned, one that is not preferred only if there is no
+   * other, and one of an evacuated failure domain last; any server once the commits may be given
+   * up. Otherwise a server of an evacuated failure domain is left out unless the others may lack an
+   * acknowledged write.
    */
   private Optional<BackendServer> mostAdvancedCandidate(Situation situation) {
     List<BackendServer> candidates = candidates(situation);
@@ -442,17 +523,32 @@
         int required = situation.declared().servers() - situation.declared().majority() + 1;
         yield preference(situation).withoutEvacuated(candidates, required).stream().max(byPosition);
       }
-      case PromotionMode.ByService byService ->
-          candidates.stream()
-              .filter(server -> isPreferred(server, situation))
-              .max(byPosition)
-              .or(
-                  () ->
-                      preference(situation).withoutEvacuated(candidates, 1).stream()
-                          .max(byPosition));
+      case PromotionMode.ByService byService -> {
+        List<BackendServer> complete =
+            candidates.stream().filter(server -> includesEveryCommit(server, situation)).toList();
+        yield complete.stream()
+            .filter(server -> isPreferred(server, situation))
+            .max(byPosition)
+            .or(() -> preference(situation).withoutEvacuated(complete, 1).stream().max(byPosition))
+            .or(
+                () ->
+                    mayGiveUpCommits(situation)
+                        ? candidates.stream().max(byPosition)
+                        : Optional.empty());
+      }
     };
   }
 
+  /**
+   * Returns whether a server with a known position holds every acknowledged commit. Where servers
+   * are promoted directly, the number of known positions ensures this for the most advanced one.
+   */
+  private boolean includesEveryCommit(BackendServer server, Situation situation) {
+    LogPosition position = requireNonNull(positions.get(server.name()));
+    return promotionMode instanceof PromotionMode.ByServer
+        || quorum(situation).includesEveryCommit(position, positions.values());
+  }
+
   private void requestPromotion(Situation situation, List<FailoverAction> actions) {
     lastServiceRequestMillis = situation.now();
     actions.add(
@@ -461,7 +557,8 @@
             begunTerm,
             requireNonNull(promotionTarget, "promotionTarget"),
             situation.state().fence(),
-            positions));
+            positions,
+            promotionMayLackCommits));
   }
 
   private List<FailoverAction> queryPreferredServers(Situation situation, LogPosition highest) {
@@ -505,8 +602,8 @@
 
   /** Returns whether the service has rejected a server a short time ago. */
   private boolean isRejected(String server, long now) {
-    Long rejected = rejectionMillis.get(server);
-    return rejected != null && now - rejected < REJECTION_MILLIS;
+    Rejections rejected = rejections.get(server);
+    return rejected != null && now - rejected.lastMillis() < rejected.pauseMillis();
   }
 
   private void tickPromoting(Situation situation, List<FailoverAction> actions) {
@@ -541,7 +638,7 @@
             .filter(known -> known.announcedAtMillis() >= stepStartMillis)
             .isPresent();
     if (promotionAccepted && announcedAsPrimary) {
-      rejectionMillis.clear();
+      rejections.clear();
       actions.add(completeTerm(server, 0, situation.now()));
     } else if (situation.now() - stepStartMillis >= SERVICE_TIMEOUT_MILLIS) {
       restartInNewTerm(situation.now());
@@ -556,10 +653,10 @@
     if (done) {
       lastCompletionMillis = situation.now();
       lastCompletedTerm = begunTerm;
-      boolean evacuated =
-          primaryServer(situation).filter(preference(situation)::isEvacuated).isPresent();
-      evacuationRetryMillis =
-          evacuated ? situation.now() + EVACUATION_RETRY_MILLIS : Long.MIN_VALUE;
+      boolean toBeReplaced =
+          primaryServer(situation).filter(server -> isToBeReplaced(server, situation)).isPresent();
+      replacementRetryMillis =
+          toBeReplaced ? situation.now() + REPLACEMENT_RETRY_MILLIS : Long.MIN_VALUE;
       lastSentMillis.clear();
       enterStep(Step.IDLE, situation.now());
     } else if (!abandonIfTermSuperseded(situation) && isStepOverdue(situation.now())) {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FailoverExecutor.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FailoverExecutor.java
@@ -122,6 +122,7 @@
     }
     phaseLine("service-asked", promotion)
         .with("positions", new TreeMap<>(promotion.positions()))
+        .with("may_lack_commits", promotion.mayLackCommits())
         .write();
     external
         .promotionService()
