Require a lease for writes to databases with synchronous replicas

Where a replaced primary refuses writes itself (write-fencing = servers), VMs without a lease went on writing to the old primary during a change of primary. The leader reads positions once no VM with a lease uses the old primary; a commit that another VM got acknowledged after that is not in them, and a replica that was equal at that moment may be promoted without it.

With synchronous replicas, writes now require a lease under either setting. Other databases are not affected. Price: a VM that is cut off from control writes nothing there.

Red without the change in SessionRouter: requiresLeaseForSynchronouslyReplicated- Writes (3 of 3 cases) and SessionRunnerTests.writeToSynchronousReplicasRequires- Lease (the case with a synchronous replica, 1 of 2). With it, the router, session and evacuation tests of core and daemon passed (107 and 29).

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionDemand.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionDemand.java
@@ -18,6 +18,8 @@
  * @param homeRegions the regions in which its data may be handled
  * @param sendLimit limits how often statements are sent to a server
  * @param priority the priority of its route; 0 is the highest
+ * @param synchronouslyReplicated whether replicas store a commit of the database before it is
+ *     acknowledged
  */
 public record SessionDemand(
     String customer,
@@ -27,7 +29,8 @@
     Set<String> triedServers,
     HomeRegions homeRegions,
     SendLimit sendLimit,
-    int priority) {
+    int priority,
+    boolean synchronouslyReplicated) {
 
   /** Copies the set and checks that no component is null. */
   public SessionDemand {
@@ -41,7 +44,7 @@
 
   /**
    * Creates the requirements of a statement of the highest priority that no limit and no home
-   * region restricts.
+   * region restricts, to a database without synchronous replicas.
    *
    * @param customer the name of the customer whose connection is used
    * @param write whether the statement or transaction may write
@@ -63,6 +66,7 @@
         triedServers,
         HomeRegions.EVERYWHERE,
         SendLimit.NONE,
-        0);
+        0,
+        false);
   }
 }
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/routing/SessionRouter.java
@@ -141,8 +141,8 @@
       return new SessionTarget.NotBefore(ResultCode.NO_SERVER_IN_HOME_REGION, Long.MAX_VALUE);
     }
     if (demand.write()) {
-      return mayWrite(lease, now)
-          ? routeToPrimary(group, state, demand, requiresLeaseToWrite(), evacuations, now)
+      return mayWrite(demand, lease, now)
+          ? routeToPrimary(group, state, demand, requiresLeaseToWrite(demand), evacuations, now)
           : new SessionTarget.Wait(ResultCode.NO_LEASE);
     }
     Optional<PositionSample> sample = findSample(demand.freshness(), history, now);
@@ -192,10 +192,10 @@
       return Optional.empty();
     }
     if (demand.write()) {
-      return isPrimary && mayWrite(lease, now)
+      return isPrimary && mayWrite(demand, lease, now)
           ? Optional.of(
               new SessionTarget.RunOn(
-                  server, state.term(), true, null, requiresLeaseToWrite(), now))
+                  server, state.term(), true, null, requiresLeaseToWrite(demand), now))
           : Optional.empty();
     }
     if (isPrimary && coversTransit(lease, now)) {
@@ -213,12 +213,17 @@
                     sample.sentMillis()));
   }
 
-  private boolean mayWrite(LeaseStatus lease, long now) {
-    return !requiresLeaseToWrite() || coversTransit(lease, now);
+  private boolean mayWrite(SessionDemand demand, LeaseStatus lease, long now) {
+    return !requiresLeaseToWrite(demand) || coversTransit(lease, now);
   }
 
-  private boolean requiresLeaseToWrite() {
-    return writeFencing == WriteFencing.BY_LEASE;
+  /**
+   * Returns whether writes require a lease. The next primary is chosen by positions that are read
+   * once no VM with a lease uses the old one, so where no acknowledged commit may be lost, none may
+   * be acknowledged without a lease.
+   */
+  private boolean requiresLeaseToWrite(SessionDemand demand) {
+    return writeFencing == WriteFencing.BY_LEASE || demand.synchronouslyReplicated();
   }
 
   private static boolean coversTransit(LeaseStatus lease, long now) {
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterColdServersTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterColdServersTests.java
@@ -140,7 +140,8 @@
         Set.of(),
         HomeRegions.EVERYWHERE,
         (server, now) -> notBefore.getOrDefault(server.name(), Long.MIN_VALUE),
-        0);
+        0,
+        false);
   }
 
   private static String serverName(SessionTarget target) {
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterHomeRegionsTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterHomeRegionsTests.java
@@ -116,7 +116,7 @@
     HomeRegions none = new HomeRegions(true, Set.of());
     SessionDemand demand =
         new SessionDemand(
-            "acme", false, BOUNDED_AGE, LogPosition.ZERO, Set.of(), none, SendLimit.NONE, 0);
+            "acme", false, BOUNDED_AGE, LogPosition.ZERO, Set.of(), none, SendLimit.NONE, 0, false);
 
     assertThat(route(demand, VALID_LEASE), is(REFUSED_AT_ONCE));
   }
@@ -155,7 +155,8 @@
             Set.of("bonds-3"),
             new HomeRegions(true, Set.of("south")),
             SendLimit.NONE,
-            0);
+            0,
+            false);
 
     assertThat(
         route(demand, VALID_LEASE),
@@ -208,7 +209,8 @@
         Set.of(),
         new HomeRegions(true, Set.of(region)),
         SendLimit.NONE,
-        0);
+        0,
+        false);
   }
 
   private static String serverName(SessionTarget target) {
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/routing/SessionRouterTests.java
@@ -18,6 +18,7 @@
 import org.cowslipdale.core.backend.BackendServer;
 import org.cowslipdale.core.backend.ServerBackoff;
 import org.cowslipdale.core.backend.ServerRole;
+import org.cowslipdale.core.placement.HomeRegions;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.core.routing.SessionTarget.RunOn;
 import org.cowslipdale.core.session.LogPosition;
@@ -103,6 +104,38 @@
         is(permitted));
   }
 
+  /**
+   * Guards against the loss of an acknowledged commit: the successor of a primary is chosen by
+   * positions that do not include what a VM without a lease still writes.
+   */
+  @ParameterizedTest
+  @CsvSource({"-1, false", "200, false", "300, true"})
+  void requiresLeaseForSynchronouslyReplicatedWrites(long leaseLeftMillis, boolean permitted) {
+    SessionDemand demand =
+        new SessionDemand(
+            CUSTOMER,
+            true,
+            new Freshness.Latest(),
+            LogPosition.ZERO,
+            Set.of(),
+            HomeRegions.EVERYWHERE,
+            SendLimit.NONE,
+            0,
+            true);
+    LeaseStatus lease = new LeaseStatus(NOW + leaseLeftMillis);
+    BackendServer primary = registry.group("bonds").server("bonds-1").orElseThrow();
+
+    assertThat(
+        route(demand, lease),
+        is(
+            permitted
+                ? new RunOn(primary, 2, true, null, true, NOW)
+                : new SessionTarget.Wait(ResultCode.NO_LEASE)));
+    assertThat(
+        router.confirm(primary, demand, state, lease, history, Evacuations.NONE, NOW).isPresent(),
+        is(permitted));
+  }
+
   @Test
   void latestReadsRequirePrimaryAndValidLease() {
     addSample(NOW - 100, 70);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -550,7 +550,14 @@
           triedServers,
           homeRegions(current),
           (server, now) -> context.coldStartLimit().notBeforeMillis(server, current.view(), now),
-          request.priority());
+          request.priority(),
+          isSynchronouslyReplicated(current.view()));
+    }
+
+    private boolean isSynchronouslyReplicated(View view) {
+      Database declared =
+          view.configuration().databases().get(request.operation().route().database());
+      return declared != null && declared.synchronousReplicas() > 0;
     }
 
     /** Counts the statement against the limit of a cold server; returns whether it may be sent. */
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionFixture.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionFixture.java
@@ -181,10 +181,13 @@
         clock.millis());
   }
 
-  /** Makes all servers cold, and registers VMs of which this one is the first. */
-  void limitColdServers(ViewHolder views, double requestsPerSecond, int vms) {
-    View view = views.get().view();
-    Database database = new Database("bonds", 2, CONNECTION_LIMIT, 0, 60_000, requestsPerSecond);
+  /** Publishes a configuration in which commits wait for synchronous replicas. */
+  void replicateSynchronously(ViewHolder views, int synchronousReplicas) {
+    Database database = new Database("bonds", 2, CONNECTION_LIMIT, synchronousReplicas);
+    views.publish(withDatabase(views.get().view(), database), Long.MIN_VALUE, 1, clock.millis());
+  }
+
+  private static View withDatabase(View view, Database database) {
     Configuration configuration =
         new Configuration(
             Map.of(),
@@ -194,8 +197,14 @@
             view.configuration().sessionRoutes(),
             30_000);
     DeclaredDocument document = new DeclaredDocument(view.document().version() + 1, "{}");
-    view =
-        view.apply(new ViewCommand.ReplaceConfiguration(document, configuration, List.of())).view();
+    return view.apply(new ViewCommand.ReplaceConfiguration(document, configuration, List.of()))
+        .view();
+  }
+
+  /** Makes all servers cold, and registers VMs of which this one is the first. */
+  void limitColdServers(ViewHolder views, double requestsPerSecond, int vms) {
+    Database database = new Database("bonds", 2, CONNECTION_LIMIT, 0, 60_000, requestsPerSecond);
+    View view = withDatabase(views.get().view(), database);
     for (int i = 1; i <= vms; i++) {
       VmRecord vm = new VmRecord("vm" + i, "a", "r", "address", 0, 0, true);
       view = view.apply(new ViewCommand.RegisterVm(vm, 0)).view();
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
@@ -30,6 +30,8 @@
 import org.junit.jupiter.api.Order;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestMethodOrder;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /**
  * Tests the routing and retries of statements against in-process servers.
@@ -369,6 +371,28 @@
     assertThat(servers.runs(), is(List.of("bonds-1 write-1")));
   }
 
+  /**
+   * Guards against the loss of an acknowledged commit: a VM without a lease may use a primary whose
+   * successor has already been chosen.
+   */
+  @ParameterizedTest
+  @CsvSource({"0, true", "1, false"})
+  void writeToSynchronousReplicasRequiresLease(int synchronousReplicas, boolean runs)
+      throws Exception {
+    grantLease(100);
+    fixture.replicateSynchronously(views, synchronousReplicas);
+    SessionFixture.pause(200);
+    Freshness latest = new Freshness.Latest();
+
+    if (runs) {
+      runner.run(request("write-1", true, latest, 300));
+    } else {
+      assertThrows(RefusalException.class, () -> runner.run(request("write-1", true, latest, 300)));
+    }
+
+    assertThat(servers.runs(), is(runs ? List.of("bonds-1 write-1") : List.of()));
+  }
+
   /** The position of a replaced primary must not count as that of its successor. */
   @Order(9)
   @Test
