--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/failover/SynchronousReplicasTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/failover/SynchronousReplicasTests.java
@@ -256,15 +256,15 @@
   }
 
   /**
-   * Guards against a database without a primary for good: no replica is left, and the previous
-   * primary returns after its position was no longer asked for.
+   * Guards against a database without a primary for good: no replica is left, at once or after one
+   * has been promoted, and the previous primary returns alone.
    */
   @ParameterizedTest
-  @ValueSource(ints = {0, 1, 2})
-  void promotesPreviousPrimaryThatReturnsAlone(int synchronousReplicas) {
+  @CsvSource({"0, 0", "1, 0", "2, 0", "3, 0", "0, 500", "1, 500", "2, 500"})
+  void promotesPreviousPrimaryThatReturnsAlone(int synchronousReplicas, long successorMillis) {
     start(synchronousReplicas, ACKNOWLEDGED, ACKNOWLEDGED);
     crash("bonds-1");
-    run(500);
+    run(successorMillis);
     server("bonds-2").running = false;
     server("bonds-3").running = false;
     run(10_000);
