Bound what the control leader retains of silent servers

Announcements of ever new names for one database could fill the map of recent servers for 60 s each. It holds 64 servers at most, and nothing for databases without synchronous replicas, which do not use it. Found by reading. Test: RecentServersTests.boundsNumberOfServers.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/GroupFailover.java
@@ -185,7 +185,9 @@
   /** Advances the change of primary and returns the actions to carry out. */
   List<FailoverAction> tick(Situation situation) {
     firstTickMillis = Math.min(firstTickMillis, situation.now());
-    recentServers.update(situation.group().servers().values(), situation.now());
+    if (situation.declared().synchronousReplicas() > 0) {
+      recentServers.update(situation.group().servers().values(), situation.now());
+    }
     List<FailoverAction> actions = new ArrayList<>();
     switch (step) {
       case IDLE -> tickIdle(situation, actions);
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/RecentServers.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/failover/RecentServers.java
@@ -1,8 +1,8 @@
 package org.cowslipdale.core.failover;
 
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.Map;
+import java.util.LinkedHashMap;
+import java.util.SequencedMap;
 import org.cowslipdale.core.backend.BackendServer;
 
 /**
@@ -13,8 +13,13 @@
  */
 final class RecentServers {
 
+  /** Bounds the memory that announcements of ever new names can occupy. */
+  private static final int MAX_SERVERS = 64;
+
   private final long retentionMillis;
-  private final Map<String, Sighting> sightings = new HashMap<>();
+
+  /** By name, the server that was silent for the longest time first. */
+  private final SequencedMap<String, Sighting> sightings = new LinkedHashMap<>();
 
   private record Sighting(String address, long announcedAtMillis) {}
 
@@ -44,8 +49,12 @@
               known ->
                   known.getValue().address().equals(address)
                       && !known.getKey().equals(server.name()));
+      sightings.remove(server.name());
       sightings.put(server.name(), new Sighting(address, server.announcedAtMillis()));
     }
+    while (sightings.size() > MAX_SERVERS) {
+      sightings.pollFirstEntry();
+    }
     sightings.values().removeIf(known -> now - known.announcedAtMillis() >= retentionMillis);
   }
 
