Log and count what statements wait for

Callers of primary-only routes were refused on large fleets, and neither logs nor metrics told whether their statements had waited for a slot, a permit, a connection, a lease, a primary or the backoff from a busy server.

statement-waited gives the time by cause for each refused statement and each one that waited for more than half of its target. permits-refused gives the state of the permits on the control leader. cowslipdale_statement_wait_seconds_total sums the waits by cause. No decision changes.

SessionRunnerTests.recordsWhatRefusedStatementWaitedFor guards the recording.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/permit/PermitIssuer.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/permit/PermitIssuer.java
@@ -66,10 +66,8 @@
       return held.getOrDefault(server, 0);
     }
 
-    /** Returns how many permits of the server the VM may hold. */
-    int reserved(String server, long now) {
-      return held(server)
-          + (now < previouslyHeldUntilMillis ? previouslyHeld.getOrDefault(server, 0) : 0);
+    int previouslyHeld(String server, long now) {
+      return now < previouslyHeldUntilMillis ? previouslyHeld.getOrDefault(server, 0) : 0;
     }
   }
 
@@ -170,7 +168,7 @@
       PermitDemand demand = next.demand();
       int left =
           free.computeIfAbsent(
-              demand.server(), server -> demand.capacity() - totalReserved(server, vms, now));
+              demand.server(), server -> demand.capacity() - reservation(server, vms, now).total());
       boolean granted = left > 0 && tryGrant(next.vm(), demand);
       if (granted) {
         free.put(demand.server(), left - 1);
@@ -198,13 +196,42 @@
     return grantable;
   }
 
-  private int totalReserved(String server, Collection<String> vms, long now) {
-    int sum = 0;
+  /**
+   * The permits of a server that are not free.
+   *
+   * @param reported the permits that VMs reported or were granted since
+   * @param previouslyHeld the permits of previous processes, whose connections servers may still
+   *     count
+   * @param vmsWithoutReport the number of VMs that count as holding the maximum
+   */
+  public record Reservation(int reported, int previouslyHeld, int vmsWithoutReport) {
+
+    int total() {
+      return reported + previouslyHeld + vmsWithoutReport * MAX_PERMITS_PER_VM;
+    }
+  }
+
+  /**
+   * Returns the permits of a server that VMs may hold.
+   *
+   * @param server the name of the server
+   * @param vms the names of the VMs that may have connections to servers
+   * @param now the current time on the leader's monotonic clock, in milliseconds
+   */
+  public Reservation reservation(String server, Collection<String> vms, long now) {
+    int reported = 0;
+    int previouslyHeld = 0;
+    int vmsWithoutReport = 0;
     for (String vm : vms) {
       Holder holder = holders.get(vm);
-      sum += holder == null ? MAX_PERMITS_PER_VM : holder.reserved(server, now);
+      if (holder == null) {
+        vmsWithoutReport++;
+      } else {
+        reported += holder.held(server);
+        previouslyHeld += holder.previouslyHeld(server, now);
+      }
     }
-    return sum;
+    return new Reservation(reported, previouslyHeld, vmsWithoutReport);
   }
 
   /**
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetPermits.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/FleetPermits.java
@@ -64,30 +64,38 @@
   }
 
   @Override
-  public void requestPermit(String server, int capacity) {
-    request(server, capacity, null);
+  public PermitResult requestPermit(String server, int capacity) {
+    return request(server, capacity, null);
   }
 
   @Override
-  public void requestPermit(String server, int capacity, int priority) {
-    request(server, capacity, priority);
+  public PermitResult requestPermit(String server, int capacity, int priority) {
+    return request(server, capacity, priority);
   }
 
-  private void request(String server, int capacity, @Nullable Integer priority) {
+  private PermitResult request(String server, int capacity, @Nullable Integer priority) {
     if (!permits.isPermitRequired(server) || !mayServeCustomers()) {
       pauseBeforeRetry();
-      return;
+      return PermitResult.REFUSED;
     }
     PermitDemand demand = permits.createDemand(server, capacity, priority);
-    boolean granted =
+    PermitResult result =
         link.request(
                 link.assumedLeader(), new PeerMessage.PermitRequest(demand), ANSWER_TIMEOUT_MILLIS)
-            .handle((reply, failure) -> reply instanceof PermitReply answer && answer.granted())
+            .handle((reply, failure) -> toResult(reply))
             .join();
-    permits.settle(demand, granted);
-    if (!granted) {
+    permits.settle(demand, result == PermitResult.GRANTED);
+    if (result != PermitResult.GRANTED) {
       pauseBeforeRetry();
     }
+    return result;
+  }
+
+  private static PermitResult toResult(@Nullable PeerMessage reply) {
+    if (reply instanceof PermitReply answer) {
+      return answer.granted() ? PermitResult.GRANTED : PermitResult.REFUSED;
+    }
+    return PermitResult.UNANSWERED;
   }
 
   /**
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Leadership.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Leadership.java
@@ -89,14 +89,15 @@
   }
 
   /**
-   * Returns whether refused tokens of a customer may be logged now, which limits these log lines to
-   * one per second and customer. A line that may be logged counts as written.
+   * Returns whether refused tokens of a customer, or refused permits of a server, may be logged
+   * now, which limits these log lines to one per second for each. A line that may be logged counts
+   * as written.
    */
-  boolean mayLogRefusal(String customer, long now) {
-    Long last = refusalLoggedMillis.get(customer);
+  boolean mayLogRefusal(String name, long now) {
+    Long last = refusalLoggedMillis.get(name);
     boolean due = last == null || now - last >= REFUSAL_LOG_INTERVAL_MILLIS;
     if (due) {
-      refusalLoggedMillis.put(customer, now);
+      refusalLoggedMillis.put(name, now);
     }
     return due;
   }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -319,15 +319,34 @@
     long now = clock.millis();
     Set<PermitDemand> answered = new HashSet<>();
     if (node.holdsLeaderLease(now)) {
-      for (PermitIssuer.Answer answer :
-          current.permits().answerDemands(permitHolders(current, state.view(), now), now)) {
+      Set<String> holders = permitHolders(current, state.view(), now);
+      for (PermitIssuer.Answer answer : current.permits().answerDemands(holders, now)) {
         current.completePermit(answer.demand(), answer.granted());
         answered.add(answer.demand());
+        if (!answer.granted() && current.mayLogRefusal(answer.demand().server(), now)) {
+          logPermitRefusal(current, answer, holders, now);
+        }
       }
     }
     return answered;
   }
 
+  private static void logPermitRefusal(
+      Leadership current, PermitIssuer.Answer answer, Set<String> holders, long now) {
+    PermitDemand demand = answer.demand();
+    PermitIssuer.Reservation reservation =
+        current.permits().reservation(demand.server(), holders, now);
+    DecisionLog.line(LogEvent.PERMITS_REFUSED)
+        .with("server", demand.server())
+        .with("vm", answer.vm())
+        .with("capacity", demand.capacity())
+        .with("reported", reservation.reported())
+        .with("previously_held", reservation.previouslyHeld())
+        .with("vms", holders.size())
+        .with("vms_without_report", reservation.vmsWithoutReport())
+        .write();
+  }
+
   /** Registers a VM unless it is registered with the same properties. */
   void register(VmRecord requested) {
     VmRecord known = state.view().vms().get(requested.name());
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/ConnectionMeters.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/ConnectionMeters.java
@@ -7,6 +7,8 @@
 import org.cowslipdale.daemon.session.ConnectionUsage;
 import org.cowslipdale.daemon.session.GatewayService;
 import org.cowslipdale.daemon.session.RelayMetrics;
+import org.cowslipdale.daemon.session.StatementWaits;
+import org.cowslipdale.daemon.session.WaitMetrics;
 
 /** Registers the metrics of connections to servers and of gateways. */
 final class ConnectionMeters {
@@ -34,6 +36,16 @@
         .register(meters);
   }
 
+  static void register(MeterRegistry meters, WaitMetrics waits) {
+    for (StatementWaits.Cause cause : StatementWaits.Cause.values()) {
+      FunctionCounter.builder(
+              "cowslipdale.statement.wait.seconds", waits, w -> w.millis(cause) / 1_000.0)
+          .description("Time that statements waited before they were sent, by cause")
+          .tag("cause", cause.name().toLowerCase(Locale.ROOT))
+          .register(meters);
+    }
+  }
+
   static void register(MeterRegistry meters, RelayMetrics metrics) {
     for (RelayMetrics.Result result : RelayMetrics.Result.values()) {
       FunctionCounter.builder("cowslipdale.gateway.relayed", metrics, m -> m.count(result))
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/process/SessionFrontend.java
@@ -179,6 +179,7 @@
     FunctionCounter.builder("cowslipdale.admission.refused", server, s -> s.refusedCount())
         .description("Statements that admission by priority refused without running them")
         .register(meters);
+    ConnectionMeters.register(meters, server.waits());
     sessionServer = server;
     endpoints =
         adapter.endpoints(
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/ConnectionDemand.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/ConnectionDemand.java
@@ -25,6 +25,7 @@
  * @param slotDeadlineMillis the time on the VM's monotonic clock until which to wait for a slot and
  *     a permit
  * @param deadlineMillis the time on the VM's monotonic clock by which a connection must be open
+ * @param waits records the time spent waiting
  */
 public record ConnectionDemand(
     BackendServer server,
@@ -36,7 +37,8 @@
     boolean singleRead,
     boolean relayable,
     long slotDeadlineMillis,
-    long deadlineMillis) {
+    long deadlineMillis,
+    StatementWaits waits) {
 
   /** Copies the regions and checks the required components. */
   public ConnectionDemand {
@@ -45,6 +47,7 @@
     requireNonNull(profile, "profile");
     homeRegions = Set.copyOf(homeRegions);
     requireNonNull(values, "values");
+    requireNonNull(waits, "waits");
   }
 
   String customer() {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/ConnectionPermits.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/ConnectionPermits.java
@@ -7,6 +7,16 @@
  */
 public interface ConnectionPermits {
 
+  /** The outcome of a request for a permit. */
+  enum PermitResult {
+    /** The permit is granted. */
+    GRANTED,
+    /** The permit is not granted, because other VMs hold all of them. */
+    REFUSED,
+    /** The control leader did not answer in time. */
+    UNANSWERED
+  }
+
   /**
    * Reserves the place of a connection that is about to be opened.
    *
@@ -39,7 +49,7 @@
    * @param server the name of the server
    * @param capacity the number of connections that all VMs together may open to the server
    */
-  void requestPermit(String server, int capacity);
+  PermitResult requestPermit(String server, int capacity);
 
   /**
    * Requests another permit for a request of a priority. Blocks the calling (virtual) thread until
@@ -49,7 +59,7 @@
    * @param capacity the number of connections that all VMs together may open to the server
    * @param priority the priority of the request that waits for the connection; 0 is the highest
    */
-  default void requestPermit(String server, int capacity, int priority) {
-    requestPermit(server, capacity);
+  default PermitResult requestPermit(String server, int capacity, int priority) {
+    return requestPermit(server, capacity);
   }
 }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/GatewayService.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/GatewayService.java
@@ -248,7 +248,8 @@
             false,
             false,
             receivedMillis + request.slotWaitMillis(),
-            receivedMillis + request.limitMillis());
+            receivedMillis + request.limitMillis(),
+            new StatementWaits());
     try {
       Checkout checkout = pools.acquire(demand);
       handle.setCheckout(request.server(), checkout);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPool.java
@@ -18,6 +18,8 @@
 import org.cowslipdale.daemon.connection.BackendException;
 import org.cowslipdale.daemon.connection.ServerRef;
 import org.cowslipdale.daemon.connection.TicketFuture;
+import org.cowslipdale.daemon.session.ConnectionPermits.PermitResult;
+import org.cowslipdale.daemon.session.StatementWaits.Cause;
 import org.cowslipdale.daemon.version.VmClock;
 import org.jspecify.annotations.Nullable;
 
@@ -101,6 +103,7 @@
    * @param slotDeadlineMillis the time on the VM's monotonic clock until which to wait for a slot
    *     and a permit
    * @param deadlineMillis the time on the VM's monotonic clock by which a connection must be open
+   * @param waits records the time spent waiting
    * @throws RefusalException if there is no slot or permit in time, or the queue is full; nothing
    *     was sent
    * @throws BackendException if no connection can be opened; nothing was sent
@@ -109,13 +112,19 @@
       RequestProfile profile,
       Map<String, String> values,
       long slotDeadlineMillis,
-      long deadlineMillis)
+      long deadlineMillis,
+      StatementWaits waits)
       throws RefusalException, BackendException {
-    TicketFuture.awaitSlot(queue, profile, slotDeadlineMillis, clock.millis());
+    long requestedMillis = clock.millis();
+    try {
+      TicketFuture.awaitSlot(queue, profile, slotDeadlineMillis, requestedMillis);
+    } finally {
+      waits.add(Cause.SLOT, clock.millis() - requestedMillis);
+    }
     long acquiredMillis = clock.millis();
     PooledSession session = null;
     try {
-      session = takeOrConnect(profile, values, slotDeadlineMillis, deadlineMillis);
+      session = takeOrConnect(profile, values, slotDeadlineMillis, deadlineMillis, waits);
     } finally {
       if (session == null) {
         TicketFuture.wake(queue.releaseUnused(profile, clock.millis()));
@@ -150,19 +159,22 @@
       RequestProfile profile,
       Map<String, String> values,
       long slotDeadlineMillis,
-      long deadlineMillis)
+      long deadlineMillis,
+      StatementWaits waits)
       throws BackendException, RefusalException {
     String customer = profile.customer();
     PooledSession reusable = takeIdle(customer, values);
     if (reusable != null) {
       return reusable;
     }
-    awaitPermit(profile.priority(), slotDeadlineMillis);
+    awaitPermit(profile.priority(), slotDeadlineMillis, waits);
+    long startMillis = clock.millis();
     ServerConnection connection = null;
     try {
       long timeout = Math.clamp(deadlineMillis - clock.millis(), 1, CONNECT_TIMEOUT_MILLIS);
       connection = connector.connect(server, customer, timeout);
     } finally {
+      waits.add(Cause.CONNECTION, clock.millis() - startMillis);
       if (connection == null) {
         permits.recordClosed(server.server());
       }
@@ -175,7 +187,8 @@
    * Waits until a connection may be opened, and closes the least recently used idle connection to
    * make room if there is one.
    */
-  private void awaitPermit(int priority, long untilMillis) throws RefusalException {
+  private void awaitPermit(int priority, long untilMillis, StatementWaits waits)
+      throws RefusalException {
     while (!permits.tryUse(server.server(), share)) {
       PooledSession evicted = pollOldestIdle();
       if (evicted != null) {
@@ -183,17 +196,20 @@
       } else if (clock.millis() >= untilMillis) {
         throw new RefusalException(ResultCode.WAIT_LIMIT_REACHED);
       } else {
-        requestPermit(priority);
+        requestPermit(priority, waits);
       }
     }
   }
 
-  private void requestPermit(int priority) {
-    if (policy instanceof QueuePolicy.Priority) {
-      permits.requestPermit(server.server(), capacity, priority);
-    } else {
-      permits.requestPermit(server.server(), capacity);
-    }
+  private void requestPermit(int priority, StatementWaits waits) {
+    long startMillis = clock.millis();
+    PermitResult result =
+        policy instanceof QueuePolicy.Priority
+            ? permits.requestPermit(server.server(), capacity, priority)
+            : permits.requestPermit(server.server(), capacity);
+    waits.add(
+        result == PermitResult.UNANSWERED ? Cause.PERMIT_ANSWER : Cause.PERMIT,
+        clock.millis() - startMillis);
   }
 
   private synchronized @Nullable PooledSession takeIdle(
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionPools.java
@@ -87,7 +87,8 @@
             demand.profile(),
             demand.values(),
             demand.slotDeadlineMillis(),
-            demand.deadlineMillis());
+            demand.deadlineMillis(),
+            demand.waits());
   }
 
   @Override
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -33,6 +33,7 @@
 import org.cowslipdale.core.view.SessionRoute;
 import org.cowslipdale.core.view.View;
 import org.cowslipdale.daemon.connection.BackendException;
+import org.cowslipdale.daemon.session.StatementWaits.Cause;
 import org.cowslipdale.daemon.telemetry.DecisionLog;
 import org.cowslipdale.daemon.telemetry.LogEvent;
 import org.cowslipdale.daemon.version.CurrentView;
@@ -90,6 +91,8 @@
   /** Decides on statements that no server can run now; null without admission by priority. */
   private final @Nullable StatementAdmitter admitter;
 
+  private final WaitMetrics waitMetrics = new WaitMetrics();
+
   SessionRunner(SessionContext context, PrimaryChecker checker) {
     this.context = requireNonNull(context, "context");
     this.checker = requireNonNull(checker, "checker");
@@ -104,6 +107,11 @@
     return admitter == null ? 0 : admitter.refusedCount();
   }
 
+  /** Returns the time that statements spent waiting before they were sent. */
+  WaitMetrics waitMetrics() {
+    return waitMetrics;
+  }
+
   /**
    * A request of a session to run a statement.
    *
@@ -151,14 +159,18 @@
     RequestProfile profile() {
       SessionRoute route = operation.route();
       String kind = statement instanceof Statement.Begin ? "transaction" : "statement";
-      long receivedMillis = deadlineMillis - route.statementLimitMillis();
       return new RequestProfile(
           operation.customer(),
           priority(),
-          receivedMillis + route.targetMillis(),
+          receivedMillis() + route.targetMillis(),
           route.name() + "/" + kind + (isWrite() ? "/write" : "/read"));
     }
 
+    /** Returns when the statement was received, on the VM's monotonic clock in milliseconds. */
+    long receivedMillis() {
+      return deadlineMillis - operation.route().statementLimitMillis();
+    }
+
     /** Returns the class of statements that take a similar time on equal servers. */
     String statementClass() {
       String kind =
@@ -345,10 +357,12 @@
     private boolean serverBusy;
     private boolean serverAtFault = true;
     private int relayFailures;
+    private final StatementWaits waits = new StatementWaits();
 
     RetryLoop(StatementRequest request) {
       this.request = request;
       this.startedMillis = context.clock().millis();
+      waits.add(Cause.ADMISSION, startedMillis - request.receivedMillis());
     }
 
     /** Runs the statement on one server; returns empty if it may be tried on another server. */
@@ -359,16 +373,45 @@
      * Runs the statement, and returns the customer's token if the statement was sent to no server.
      */
     T run() throws RefusalException {
+      ResultCode refusal = null;
       try {
         return runWithRetries();
       } catch (RefusalException e) {
+        refusal = e.code();
         if (!sent) {
           context.limiter().returnToken(request.operation().customer());
         }
         throw e;
+      } finally {
+        recordWaits(refusal);
       }
     }
 
+    private void recordWaits(@Nullable ResultCode refusal) {
+      waitMetrics.add(waits);
+      SessionRoute route = request.operation().route();
+      if (refusal == null && waits.totalMillis() <= route.targetMillis() / 2) {
+        return;
+      }
+      DecisionLog.Line line =
+          DecisionLog.line(LogEvent.STATEMENT_WAITED)
+              .with("request", request.statement().id())
+              .with("customer", request.operation().customer())
+              .with("database", route.database())
+              .with("route", route.name())
+              .with("write", request.isWrite())
+              .with("requires_primary", request.requiresPrimary())
+              .with("code", refusal)
+              .with("sent", sent)
+              .with("took_ms", context.clock().millis() - request.receivedMillis());
+      waits.describe(line).write();
+    }
+
+    private void sleepFor(long millis, ResultCode code) throws RefusalException {
+      waits.add(StatementWaits.causeOf(code), millis);
+      sleep(millis);
+    }
+
     private T runWithRetries() throws RefusalException {
       while (true) {
         if (Thread.currentThread().isInterrupted()) {
@@ -508,7 +551,8 @@
           request.isSingleRead(),
           relayFailures < MAX_RELAY_FAILURES,
           slotDeadlineMillis,
-          deadlineMillis);
+          deadlineMillis,
+          waits);
     }
 
     private SessionTarget route() {
@@ -706,7 +750,7 @@
         pauseBeforeRetry(wait.code());
         return;
       }
-      sleep(Math.min(waitMillis, remainingWaitMillis(wait.code())));
+      sleepFor(Math.min(waitMillis, remainingWaitMillis(wait.code())), wait.code());
       triedServers.clear();
     }
 
@@ -725,7 +769,8 @@
         }
         throw new RefusalException(notBefore.code());
       }
-      sleep(Math.clamp(notBefore.untilMillis() - now, 1, REROUTE_AFTER_MILLIS));
+      sleepFor(
+          Math.clamp(notBefore.untilMillis() - now, 1, REROUTE_AFTER_MILLIS), notBefore.code());
       triedServers.clear();
     }
 
@@ -763,7 +808,7 @@
         throws RefusalException {
       long pause = retryDelayMillis / 2 + ThreadLocalRandom.current().nextLong(retryDelayMillis);
       long latestStart = request.deadlineMillis() - MIN_RUN_MILLIS;
-      sleep(admission.waitMillis(request, code, untilMillis, latestStart, pause + 1));
+      sleepFor(admission.waitMillis(request, code, untilMillis, latestStart, pause + 1), code);
       retryDelayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, retryDelayMillis * 2);
       triedServers.clear();
     }
@@ -774,7 +819,7 @@
         return;
       }
       long jittered = retryDelayMillis / 2 + ThreadLocalRandom.current().nextLong(retryDelayMillis);
-      sleep(Math.min(jittered + 1, remainingWaitMillis(code)));
+      sleepFor(Math.min(jittered + 1, remainingWaitMillis(code)), code);
       retryDelayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, retryDelayMillis * 2);
       triedServers.clear();
     }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionServer.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionServer.java
@@ -65,6 +65,11 @@
     return runner.refusedCount();
   }
 
+  /** Returns the time that statements spent waiting before they were sent. */
+  public WaitMetrics waits() {
+    return runner.waitMetrics();
+  }
+
   /** Closes the idle sessions, so that their callers open new ones at other VMs. */
   public void closeIdle() {
     sessions.stream().filter(session -> !session.isBusy()).forEach(CallerSession::closeWhenIdle);
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/telemetry/LogEvent.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/telemetry/LogEvent.java
@@ -16,6 +16,8 @@
   STATEMENT_DONE("statement-done"),
   /** A statement was rejected or its outcome is unknown. */
   STATEMENT_REFUSED("statement-refused"),
+  /** A statement was refused, or waited for more than half of its target latency. */
+  STATEMENT_WAITED("statement-waited"),
   /** A statement was refused, because no suitable server is in its home regions. */
   HOME_REGION_REFUSED("home-region-refused"),
   /** A statement was refused, because this VM may not send a cold server another one in time. */
@@ -52,6 +54,8 @@
   EVACUATION_CHANGED("evacuation-changed"),
   /** The control leader granted no token, because the rate of the customer is exhausted. */
   TOKENS_REFUSED("tokens-refused"),
+  /** The control leader granted no permit, because VMs may hold all of those of a server. */
+  PERMITS_REFUSED("permits-refused"),
   /** This VM became the control leader. */
   LEADERSHIP_GAINED("leadership-gained"),
   /** This VM is no longer the control leader. */
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/GatewayFixture.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/GatewayFixture.java
@@ -242,8 +242,9 @@
     }
 
     @Override
-    public void requestPermit(String server, int capacity) {
+    public PermitResult requestPermit(String server, int capacity) {
       SessionFixture.pause(10);
+      return PermitResult.REFUSED;
     }
   }
 }
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionFixture.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionFixture.java
@@ -99,8 +99,9 @@
     }
 
     @Override
-    public void requestPermit(String server, int capacity) {
+    public PermitResult requestPermit(String server, int capacity) {
       pause(10);
+      return PermitResult.REFUSED;
     }
   }
 
--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionRunnerTests.java
@@ -94,6 +94,20 @@
     assertThat(servers.runs(), hasItem("bonds-2 read-1"));
   }
 
+  /** Guards against refusals whose cause neither logs nor metrics tell. */
+  @Test
+  void recordsWhatRefusedStatementWaitedFor() throws Exception {
+    startHeld("write-1");
+    startHeld("write-2");
+    awaitRun("bonds-1 write-1");
+    awaitRun("bonds-1 write-2");
+
+    assertThrows(RefusalException.class, () -> runner.run(request("read-1", false, LATEST, 300)));
+
+    assertThat(runner.waitMetrics().millis(StatementWaits.Cause.SLOT) > 100, is(true));
+    assertThat(runner.waitMetrics().millis(StatementWaits.Cause.PERMIT), is(0L));
+  }
+
   /**
    * A replaced primary still commits transactions that wrote nothing. Its reply must not count as a
    * new position of the primary.
