Write up what callers of primary-only routes waited for; reproduce it

Refused statements had waited for permits to open connections: the control leader, elected at 3.44 s and not disturbed itself, did not answer demands within 400 ms.

The simulation of PermitTests now uses LeaseTable and the share that follows from it, as the leader does; its other checks are unchanged.

No logic is changed yet.

--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/permit/PermitTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/permit/PermitTests.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -17,6 +18,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import org.cowslipdale.core.control.LeaseTable;
 import org.cowslipdale.core.control.LeaseTimings;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -29,23 +31,24 @@
 class PermitTests {
 
   private static final String SERVER = "bonds-1";
-  private static final int CAPACITY = 80;
+  private static final int CONNECTION_LIMIT = 82;
+  private static final int CAPACITY = ConnectionShare.capacity(CONNECTION_LIMIT);
   private static final long RETRY_MILLIS = 40;
   private static final long MAX_WAIT_MILLIS = 400;
   private static final long OPERATION_MILLIS = 60;
 
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final Map<String, Vm> vms = new TreeMap<>();
-  private final Map<String, Long> leaseGrantedMillis = new HashMap<>();
   private final Random random = new Random(3);
   private final Map<PermitDemand, Consumer<Boolean>> pendingDemands = new HashMap<>();
   private PermitIssuer issuer = new PermitIssuer();
   private String leader = "control-1";
-  private long electedMillis;
+  private LeaseTable leases = new LeaseTable(0);
   private long now;
   private long lastEvent;
   private int connections;
   private int maxConnections;
+  private int requested;
   private int served;
   private long maxWait;
 
@@ -66,7 +69,9 @@
     private int idleConnections;
     private int busyConnections;
     private long leaseEnd = -LeaseTimings.KEY_GRACE_MILLIS;
+    private int share;
     private boolean disconnected;
+    private boolean stopped;
 
     Vm(String name) {
       this.name = name;
@@ -78,13 +83,23 @@
         permits.releaseAllUnused();
       }
       long requested = now;
-      PermitReport report = permits.createReport(leader);
+      PermitReport report =
+          permits.hasPermitsForAllConnections() ? permits.createReport(leader) : null;
       sendToLeader(
           () -> {
-            leaseGrantedMillis.put(name, now);
-            issuer.applyReport(name, report, now);
-            answerDemands();
-            deliverFromLeader(() -> leaseEnd = requested + LeaseTimings.LEASE_MILLIS);
+            leases.grant(name, 0, requested, now);
+            if (report == null) {
+              issuer.discardReport(name);
+            } else {
+              issuer.applyReport(name, report, now);
+              answerDemands();
+            }
+            int callerVms = countCallerVms();
+            deliverFromLeader(
+                () -> {
+                  leaseEnd = requested + LeaseTimings.LEASE_MILLIS;
+                  share = ConnectionShare.of(CONNECTION_LIMIT, callerVms);
+                });
           });
       schedule(LeaseTimings.RENEWAL_INTERVAL_MILLIS, this::renewLease);
     }
@@ -94,10 +109,13 @@
     }
 
     void attemptOperation(long requestedMillis) {
+      if (stopped) {
+        return;
+      }
       if (idleConnections > 0) {
         idleConnections--;
         startOperation(requestedMillis);
-      } else if (canServe() && permits.tryUse(SERVER, 0)) {
+      } else if (canServe() && permits.tryUse(SERVER, share)) {
         connections++;
         maxConnections = Math.max(maxConnections, connections);
         startOperation(requestedMillis);
@@ -109,6 +127,10 @@
     }
 
     private void requestPermit(long requestedMillis) {
+      if (!permits.isPermitRequired(SERVER)) {
+        schedule(RETRY_MILLIS, () -> attemptOperation(requestedMillis));
+        return;
+      }
       PermitDemand demand = permits.createDemand(SERVER, CAPACITY);
       HeldPermits requestingPermits = permits;
       int requestingProcess = processNumber;
@@ -161,6 +183,21 @@
       }
     }
 
+    /** Stops the VM as planned, and starts it again after a time without a lease. */
+    void stopAndRestart(long downMillis) {
+      long sent = now;
+      sendToLeader(() -> leases.release(name, sent, now));
+      restart();
+      stopped = true;
+      disconnected = true;
+      schedule(
+          downMillis,
+          () -> {
+            stopped = false;
+            disconnected = false;
+          });
+    }
+
     void restart() {
       connections -= idleConnections + busyConnections;
       idleConnections = 0;
@@ -223,16 +260,15 @@
 
   private Set<String> possibleHolders() {
     return vms.keySet().stream()
-        .filter(
-            vm ->
-                now
-                    < leaseGrantedMillis.getOrDefault(vm, electedMillis)
-                        + LeaseTimings.LEASE_BOUND_MILLIS
-                        + LeaseTimings.KEY_GRACE_BOUND_MILLIS
-                        + LeaseTimings.ORPHANED_CONNECTION_MILLIS)
+        .filter(vm -> leases.mayHoldPermits(vm, now))
         .collect(Collectors.toSet());
   }
 
+  private int countCallerVms() {
+    return (int)
+        vms.keySet().stream().filter(vm -> leases.mayHaveServerConnections(vm, now)).count();
+  }
+
   @ParameterizedTest
   @CsvSource({"9, 5", "87, 1", "300, 1"})
   void servesAllOperationsWithinCapacity(int count, int operationsPerSecond) {
@@ -263,6 +299,27 @@
     assertThat(maxConnections, is(lessThanOrEqualTo(CAPACITY)));
   }
 
+  /** Guards against operations without a connection while VMs are restarted one after another. */
+  @ParameterizedTest
+  @CsvSource({"87, 4, 1050", "87, 2, 700", "300, 8, 1050"})
+  void servesAllOperationsDuringRollingRestarts(int count, int stoppedAtOnce, int gapMillis) {
+    startVms(count, 1_000);
+    List<Vm> all = new ArrayList<>(vms.values());
+    for (int i = 0; i < count; i++) {
+      Vm vm = all.get(i);
+      schedule(5_000 + (long) i / stoppedAtOnce * gapMillis, () -> vm.stopAndRestart(2_500));
+    }
+    runUntil(5_000);
+    requested = 0;
+    served = 0;
+    maxWait = 0;
+    runUntil(20_000);
+
+    assertThat(maxConnections, is(lessThanOrEqualTo(CAPACITY)));
+    assertThat(maxWait, is(lessThan(1_000L)));
+    assertThat(served, is(greaterThanOrEqualTo(requested * 19 / 20)));
+  }
+
   @ParameterizedTest
   @CsvSource({"82, 9", "82, 87", "82, 300", "218, 64", "38, 9"})
   void sharesOfAllVmsFitServerLimit(int limit, int count) {
@@ -356,8 +413,7 @@
   private void electLeader(String newLeader) {
     leader = newLeader;
     issuer = new PermitIssuer();
-    leaseGrantedMillis.clear();
-    electedMillis = now;
+    leases = new LeaseTable(now);
   }
 
   private void startVms(int count, int pauseMillis) {
@@ -373,7 +429,10 @@
     schedule(
         pauseMillis / 2 + random.nextInt(pauseMillis),
         () -> {
-          vm.attemptOperation(now);
+          if (!vm.stopped) {
+            requested++;
+            vm.attemptOperation(now);
+          }
           scheduleOperations(vm, pauseMillis);
         });
   }
