Reserve the shares of VMs that restart

In a fleet with slightly more VMs than a server accepts connections, callers were refused while VMs were restarted one after another: in the simulation of 87 VMs at 82 connections 874 of 1,174 operations got a connection.

The connections are divided among the VMs that have a lease or had one a few seconds ago. While 7 of the 87 restart there are 80, so each may open one connection without a permit. Those that start then do, the control leader discards their reports and counts 4 permits for each on every server, and with 20 of them it grants none to the other VMs, which go on asking for permits.

A VM now counts for 60 s after its lease, so a restart changes neither the shares nor whether permits are required. A VM that is gone for good keeps its share for that time.

What remains: more than 60 s after VMs are gone for good, VMs with and without permits may still be mixed.

--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/control/LeaseTable.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/control/LeaseTable.java
@@ -96,14 +96,16 @@
   }
 
   /**
-   * Returns whether a VM may have open connections to backend servers: it may hold a lease, or its
-   * lease ended less than {@link LeaseTimings#ORPHANED_CONNECTION_MILLIS} ago.
+   * Returns whether a VM has a share of the connections to backend servers: it may hold a lease, or
+   * its lease ended less than {@link LeaseTimings#RESTART_ALLOWANCE_MILLIS} ago. The share of a VM
+   * that restarts stays reserved, so that VMs do not begin to use connections without permits in
+   * the meantime.
    *
    * @param vm the name of the VM
    * @param now the current time in milliseconds of the leader's monotonic clock
    */
-  public boolean mayHaveServerConnections(String vm, long now) {
-    return now < maxLeaseEndMillis(vm) + LeaseTimings.ORPHANED_CONNECTION_MILLIS;
+  public boolean sharesServerConnections(String vm, long now) {
+    return now < maxLeaseEndMillis(vm) + LeaseTimings.RESTART_ALLOWANCE_MILLIS;
   }
 
   /**
--- a/cowslipdale-core/src/main/java/org/cowslipdale/core/control/LeaseTimings.java
+++ b/cowslipdale-core/src/main/java/org/cowslipdale/core/control/LeaseTimings.java
@@ -31,6 +31,13 @@
    */
   public static final long ORPHANED_CONNECTION_MILLIS = 3_500;
 
+  /**
+   * The time after its lease within which a VM that was stopped or has failed is expected back.
+   * Several times the limit of a planned stop (6 s) plus a start, and longer than the grace period
+   * after which no connection of the VM is left.
+   */
+  public static final long RESTART_ALLOWANCE_MILLIS = 60_000;
+
   /** The time without a renewal after which the leader considers a VM disconnected. */
   public static final long RENEWAL_OVERDUE_MILLIS = 1_500;
 
--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/permit/PermitTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/permit/PermitTests.java
@@ -266,7 +266,7 @@
 
   private int countCallerVms() {
     return (int)
-        vms.keySet().stream().filter(vm -> leases.mayHaveServerConnections(vm, now)).count();
+        vms.keySet().stream().filter(vm -> leases.sharesServerConnections(vm, now)).count();
   }
 
   @ParameterizedTest
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -268,12 +268,12 @@
     }
   }
 
-  /** Counts the VMs that serve callers and may have open connections to servers, at least 1. */
+  /** Counts the VMs that share the connections to servers, at least 1. */
   private static int countCallerVms(Leadership current, View view, long now) {
     long serving =
         view.vms().values().stream()
             .filter(vm -> vm.active() && vm.servesCallers())
-            .filter(vm -> current.leases().mayHaveServerConnections(vm.name(), now))
+            .filter(vm -> current.leases().sharesServerConnections(vm.name(), now))
             .count();
     return (int) Math.max(1, serving);
   }
