Test permits also where they are always required

The simulation of PermitTests now derives the share as the leader does, so its case of 9 VMs no longer used permits. The former cases require them again, as before; cases with the derived share are added beside them.

--- a/cowslipdale-core/src/test/java/org/cowslipdale/core/permit/PermitTests.java
+++ b/cowslipdale-core/src/test/java/org/cowslipdale/core/permit/PermitTests.java
@@ -46,6 +46,7 @@
   private LeaseTable leases = new LeaseTable(0);
   private long now;
   private long lastEvent;
+  private boolean permitsAlwaysRequired;
   private int connections;
   private int maxConnections;
   private int requested;
@@ -98,7 +99,8 @@
             deliverFromLeader(
                 () -> {
                   leaseEnd = requested + LeaseTimings.LEASE_MILLIS;
-                  share = ConnectionShare.of(CONNECTION_LIMIT, callerVms);
+                  share =
+                      permitsAlwaysRequired ? 0 : ConnectionShare.of(CONNECTION_LIMIT, callerVms);
                 });
           });
       schedule(LeaseTimings.RENEWAL_INTERVAL_MILLIS, this::renewLease);
@@ -272,6 +274,7 @@
   @ParameterizedTest
   @CsvSource({"9, 5", "87, 1", "300, 1"})
   void servesAllOperationsWithinCapacity(int count, int operationsPerSecond) {
+    permitsAlwaysRequired = true;
     startVms(count, 1_000 / operationsPerSecond);
     runUntil(5_000);
     served = 0;
@@ -284,8 +287,10 @@
   }
 
   @ParameterizedTest
-  @CsvSource({"9", "87", "300"})
-  void staysWithinCapacityDuringRestartsPartitionsAndElections(int count) {
+  @CsvSource({"9, true", "87, true", "300, true", "9, false", "87, false"})
+  void staysWithinCapacityDuringRestartsPartitionsAndElections(
+      int count, boolean alwaysRequirePermits) {
+    permitsAlwaysRequired = alwaysRequirePermits;
     startVms(count, 700);
     for (int i = 0; i < 60; i++) {
       schedule(random.nextInt(60_000), this::injectFault);
