SessionServerTests: wait until the closed session is removed

A session is counted until its channel has been closed, so that a planned stop does not end the process before the caller has its last reply; the session closes its channel first and is then removed. The test read the count as soon as the channel was closed, and could come in between.

The count must still reach 0 within the time limit of the test, so that a session that is never removed still fails it.

--- a/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionServerTests.java
+++ b/cowslipdale-daemon/src/test/java/org/cowslipdale/daemon/session/SessionServerTests.java
@@ -60,7 +60,8 @@
     long completed = caller.replies.stream().filter(reply -> reply.refusal() == null).count();
     assertThat((long) fixture.servers().runs().size(), is(completed));
     assertThat(caller.refusalCodes(), is(List.of(ResultCode.SHUTTING_DOWN)));
-    assertThat(server.openCount(), is(0));
+    // A session counts as open until its channel has been closed.
+    assertThat(await(() -> server.openCount() == 0), is(true));
   }
 
   @Test
