Reduce the work per statement for recording waits

A statement updated nine counters, most of them by 0, and summed its waits once more at its end. It now updates the counters of the causes that it waited for, and its total is kept while waits are added. A wait is recorded once it is over.

Voter: two methods in place of one that took null for all servers.

--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/control/Voter.java
@@ -171,7 +171,7 @@
       }
       broadcastIfDue();
       tickFailover(current, now);
-      answerPermitDemands(current, null);
+      answerAllPermitDemands(current);
     }
   }
 
@@ -317,22 +317,33 @@
     }
   }
 
-  /** Answers the demands for permits of a server, or of all servers if it is null. */
-  private Set<PermitDemand> answerPermitDemands(Leadership current, @Nullable String server) {
+  /** Answers the demands for permits of one server, and returns those that were answered. */
+  private Set<PermitDemand> answerPermitDemands(Leadership current, String server) {
+    long now = clock.millis();
+    if (!node.holdsLeaderLease(now)) {
+      return Set.of();
+    }
+    Set<String> holders = permitHolders(current, state.view(), now);
+    List<PermitIssuer.Answer> answers = current.permits().answerDemands(server, holders, now);
+    return sendPermitAnswers(current, answers, holders, now);
+  }
+
+  private void answerAllPermitDemands(Leadership current) {
     long now = clock.millis();
-    Set<PermitDemand> answered = new HashSet<>();
     if (node.holdsLeaderLease(now)) {
       Set<String> holders = permitHolders(current, state.view(), now);
-      List<PermitIssuer.Answer> answers =
-          server == null
-              ? current.permits().answerDemands(holders, now)
-              : current.permits().answerDemands(server, holders, now);
-      for (PermitIssuer.Answer answer : answers) {
-        current.completePermit(answer.demand(), answer.granted());
-        answered.add(answer.demand());
-        if (!answer.granted() && current.mayLogRefusal(answer.demand().server(), now)) {
-          logPermitRefusal(current, answer, holders, now);
-        }
+      sendPermitAnswers(current, current.permits().answerDemands(holders, now), holders, now);
+    }
+  }
+
+  private static Set<PermitDemand> sendPermitAnswers(
+      Leadership current, List<PermitIssuer.Answer> answers, Set<String> holders, long now) {
+    Set<PermitDemand> answered = new HashSet<>();
+    for (PermitIssuer.Answer answer : answers) {
+      current.completePermit(answer.demand(), answer.granted());
+      answered.add(answer.demand());
+      if (!answer.granted() && current.mayLogRefusal(answer.demand().server(), now)) {
+        logPermitRefusal(current, answer, holders, now);
       }
     }
     return answered;
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/SessionRunner.java
@@ -408,8 +408,8 @@
     }
 
     private void sleepFor(long millis, ResultCode code) throws RefusalException {
-      waits.add(StatementWaits.causeOf(code), millis);
       sleep(millis);
+      waits.add(StatementWaits.causeOf(code), millis);
     }
 
     private T runWithRetries() throws RefusalException {
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/StatementWaits.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/StatementWaits.java
@@ -3,6 +3,7 @@
 import java.util.EnumMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import org.cowslipdale.core.result.ResultCode;
 import org.cowslipdale.daemon.telemetry.DecisionLog;
 
@@ -36,6 +37,7 @@
   }
 
   private final Map<Cause, Long> millis = new EnumMap<>(Cause.class);
+  private long totalMillis;
 
   /** Creates an instance without waits. */
   public StatementWaits() {}
@@ -43,6 +45,7 @@
   void add(Cause cause, long waitedMillis) {
     if (waitedMillis > 0) {
       millis.merge(cause, waitedMillis, Long::sum);
+      totalMillis += waitedMillis;
     }
   }
 
@@ -56,20 +59,19 @@
     };
   }
 
-  /** Returns the time spent on a cause, in milliseconds. */
-  long millis(Cause cause) {
-    return millis.getOrDefault(cause, 0L);
+  /** Passes each cause with a wait to an action, with the time spent on it, in milliseconds. */
+  void forEach(BiConsumer<Cause, Long> action) {
+    millis.forEach(action);
   }
 
   /** Returns the time spent on all causes, in milliseconds. */
   long totalMillis() {
-    return millis.values().stream().mapToLong(Long::longValue).sum();
+    return totalMillis;
   }
 
   /** Adds a field for each cause with a wait, such as {@code slot_ms}. */
   DecisionLog.Line describe(DecisionLog.Line line) {
-    millis.forEach(
-        (cause, waited) -> line.with(cause.name().toLowerCase(Locale.ROOT) + "_ms", waited));
+    forEach((cause, waited) -> line.with(cause.name().toLowerCase(Locale.ROOT) + "_ms", waited));
     return line;
   }
 }
--- a/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/WaitMetrics.java
+++ b/cowslipdale-daemon/src/main/java/org/cowslipdale/daemon/session/WaitMetrics.java
@@ -1,5 +1,7 @@
 package org.cowslipdale.daemon.session;
 
+import static java.util.Objects.requireNonNull;
+
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.concurrent.atomic.LongAdder;
@@ -8,7 +10,7 @@
 /** Sums the waits of statements before they were sent, by cause. This class is thread-safe. */
 public final class WaitMetrics {
 
-  private final Map<Cause, LongAdder> millis;
+  private final Map<Cause, LongAdder> sums;
 
   /** Creates sums that are 0. */
   public WaitMetrics() {
@@ -16,11 +18,11 @@
     for (Cause cause : Cause.values()) {
       adders.put(cause, new LongAdder());
     }
-    millis = Map.copyOf(adders);
+    sums = adders;
   }
 
   void add(StatementWaits waits) {
-    millis.forEach((cause, sum) -> sum.add(waits.millis(cause)));
+    waits.forEach((cause, waited) -> sumOf(cause).add(waited));
   }
 
   /**
@@ -29,7 +31,10 @@
    * @param cause what the statements waited for
    */
   public long millis(Cause cause) {
-    LongAdder sum = millis.get(cause);
-    return sum == null ? 0 : sum.sum();
+    return sumOf(cause).sum();
+  }
+
+  private LongAdder sumOf(Cause cause) {
+    return requireNonNull(sums.get(cause), "sum");
   }
 }
