TestFleet: resend the configuration, and name the reply if it is refused

The fleet's configuration is sent once, and an error in reply was ignored: FailoverTests and this test then wait for a primary of a database that does not exist. Which error it was is not known.

The change is now resent with its request id after the errors for which RESULT-CODES asks that, for 60 s at most, and any other reply fails the start at once with its text. No check of a test has changed.

--- a/cowslipdale-testsupport/src/test/java/org/cowslipdale/testsupport/TestFleet.java
+++ b/cowslipdale-testsupport/src/test/java/org/cowslipdale/testsupport/TestFleet.java
@@ -92,6 +92,12 @@
       burst = 100
       """;
 
+  private static final Duration MAX_CONFIGURATION_WAIT = Duration.ofSeconds(60);
+
+  /** The errors after which an operator resends a change with its request id. */
+  private static final Set<String> RESENT_CODES =
+      Set.of("NO_LEADER", "CHANGE_OUTCOME_UNKNOWN", "NOT_IN_FORCE_YET");
+
   private static final ObjectMapper JSON = new ObjectMapper();
 
   private final Fleet fleet;
@@ -101,13 +107,31 @@
   private TestFleet(Fleet fleet) throws IOException {
     this.fleet = fleet;
     fleet.start();
-    JsonNode applied =
-        operator(1).applyConfiguration(CONFIGURATION, 0, UUID.randomUUID().toString());
-    operator(1).awaitInForce(applied.path("version").asLong(), "view");
+    operator(1).awaitInForce(applyConfiguration(), "view");
     operator(1).awaitPrimary(DATABASE, "");
     this.key = operator(1).addKey("acme");
   }
 
+  /**
+   * Applies the configuration and returns its version, as an operator does who resends a change.
+   */
+  private long applyConfiguration() throws IOException {
+    String requestId = UUID.randomUUID().toString();
+    long deadlineNanos = System.nanoTime() + MAX_CONFIGURATION_WAIT.toNanos();
+    while (true) {
+      JsonNode result = operator(1).applyConfiguration(CONFIGURATION, 0, requestId);
+      long version = result.path("version").asLong();
+      if (version > 0) {
+        return version;
+      }
+      boolean mayResend = RESENT_CODES.contains(result.path("name").asText());
+      if (!mayResend || System.nanoTime() > deadlineNanos) {
+        throw new IOException("the configuration was not applied: " + result);
+      }
+      pause(100);
+    }
+  }
+
   /** Starts one VM and one backend server in each of three failure domains. */
   static TestFleet start(Path folder, String... serverOptions) throws IOException {
     return start(folder, 1, serverOptions);
